--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -7,12 +7,18 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/tarragonspur/tarragonspur/internal/host"
+	"github.com/tarragonspur/tarragonspur/internal/logs"
+	"github.com/tarragonspur/tarragonspur/internal/site"
 	"github.com/tarragonspur/tarragonspur/pkg/config"
 )
 
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "TARRAGONSPUR_SETTINGS"
+
 type serveCmd struct {
 	cmd  *cobra.Command
 	opts serveOpts
@@ -31,18 +37,13 @@
 		Args:  cobra.NoArgs,
 		RunE:  c.run,
 	}
-	c.cmd.Flags().StringVar(&c.opts.settings, "settings", "", "file with the host's settings, JSON with comments")
+	c.cmd.Flags().StringVar(&c.opts.settings, "settings", os.Getenv(settingsVariable), "file with the host's settings, JSON with comments")
 	c.cmd.Flags().BoolVar(&c.opts.debug, "debug", false, "log debugging events")
-	_ = c.cmd.MarkFlagRequired("settings")
 	return c
 }
 
 func (c *serveCmd) run(cmd *cobra.Command, _ []string) error {
-	text, err := readFile(c.opts.settings)
-	if err != nil {
-		return err
-	}
-	settings, err := config.ParseSettings(text)
+	settings, err := c.settings()
 	if err != nil {
 		return err
 	}
@@ -50,6 +51,9 @@
 	if c.opts.debug {
 		level = slog.LevelDebug
 	}
+	if settings.Platform != nil {
+		return c.serveSite(cmd, settings, level)
+	}
 	listeners, err := host.Listen(cmd.Context(), &settings)
 	if err != nil {
 		return err
@@ -64,6 +68,31 @@
 	return h.Run(stop, abort)
 }
 
+// settings reads the settings file.
+func (c *serveCmd) settings() (config.Settings, error) {
+	if c.opts.settings == "" {
+		return config.Settings{}, errors.Newf("no settings: name a file with --settings or in %s", settingsVariable)
+	}
+	text, err := readFile(c.opts.settings)
+	if err != nil {
+		return config.Settings{}, err
+	}
+	return config.ParseSettings(text)
+}
+
+// serveSite runs an entry host on the users' platform.
+func (c *serveCmd) serveSite(cmd *cobra.Command, settings config.Settings, level slog.Level) error {
+	lines := logs.NewWriter(cmd.OutOrStdout())
+	s, err := site.Build(cmd.Context(), settings, lines, newLogger(lines, level))
+	if err != nil {
+		return err
+	}
+	s.Reload = c.settings
+	stop, abort, release := stopSignals(cmd.Context())
+	defer release()
+	return s.Run(stop, abort)
+}
+
 // stopSignals returns a context that ends at the first signal to stop and one that ends at the second.
 func stopSignals(parent context.Context) (stop, abort context.Context, release func()) {
 	stop, endStop := context.WithCancel(parent)
--- /dev/null
+++ b/internal/flow/event.go
@@ -0,0 +1,98 @@
+// Package flow splits a streamed answer into whole events.
+package flow
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrEventTooLarge says that an event exceeds what a host holds in memory.
+var ErrEventTooLarge = errors.New("event is too large")
+
+const (
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+	// readBytes is the room that is offered to one read.
+	readBytes = 4 << 10
+)
+
+// Reader cuts a body into whole events. An event ends with an empty line.
+type Reader struct {
+	Body io.Reader
+
+	buf     []byte
+	start   int
+	scanned int
+	err     error
+}
+
+// Next returns the bytes of the next event with its closing empty line. The bytes are valid until the next call.
+// At the end of the body it returns the body's error, or io.EOF if the body ended between two events, or
+// io.ErrUnexpectedEOF if it ended inside one.
+func (r *Reader) Next() ([]byte, error) {
+	for {
+		if end := r.end(); end > 0 {
+			event := r.buf[r.start:end]
+			r.start, r.scanned = end, end
+			return event, nil
+		}
+		if r.err != nil {
+			if errors.Is(r.err, io.EOF) && r.start < len(r.buf) {
+				return nil, io.ErrUnexpectedEOF
+			}
+			return nil, r.err
+		}
+		if len(r.buf)-r.start > maxEventBytes {
+			return nil, ErrEventTooLarge
+		}
+		r.fill()
+	}
+}
+
+// HasNext reports whether a whole event is held already, so that Next would not wait.
+func (r *Reader) HasNext() bool { return r.end() > 0 }
+
+// end returns the index behind the next event, or 0 if it is not whole yet.
+func (r *Reader) end() int {
+	from := max(r.start, r.scanned-3)
+	best := 0
+	for _, mark := range [...]string{"\n\n", "\n\r\n"} {
+		if i := bytes.Index(r.buf[from:], []byte(mark)); i >= 0 && (best == 0 || from+i+len(mark) < best) {
+			best = from + i + len(mark)
+		}
+	}
+	if best == 0 {
+		r.scanned = len(r.buf)
+	}
+	return best
+}
+
+func (r *Reader) fill() {
+	if r.start > 0 {
+		r.scanned -= r.start
+		r.buf = append(r.buf[:0], r.buf[r.start:]...)
+		r.start = 0
+	}
+	have := len(r.buf)
+	if cap(r.buf)-have < readBytes {
+		grown := make([]byte, have, 2*cap(r.buf)+readBytes)
+		copy(grown, r.buf)
+		r.buf = grown
+	}
+	n, err := r.Body.Read(r.buf[have : have+readBytes])
+	r.buf = r.buf[:have+n]
+	r.err = err
+}
+
+// ID returns the ID of an event, or "" if it has none.
+func ID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		rest, found := bytes.CutPrefix(line, []byte("id:"))
+		if found {
+			return string(bytes.TrimSpace(rest))
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/front/feed.go
@@ -0,0 +1,146 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonspur/tarragonspur/internal/flow"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/send"
+)
+
+// noEvent is the number of the event before a stream's first.
+const noEvent = -1
+
+// piece is one event of a stream, or the error at which it ended; io.EOF is a whole end.
+type piece struct {
+	event  []byte
+	number int
+	err    error
+}
+
+// feed is one backend server's part of a stream.
+type feed struct {
+	lease  *pool.Lease
+	header http.Header
+	status int
+	pieces chan piece
+	// standby is the copy of the run that the backend server keeps up to date; nil without one.
+	standby *standby
+	cancel  context.CancelFunc
+}
+
+// standby is a copy of a run's memory at another backend server.
+type standby struct {
+	claim *pool.Lease
+	copy  Copy
+	// taken is when a copy on demand was made; zero for one that follows the run by itself.
+	taken time.Time
+}
+
+func (s *standby) drop() {
+	if s != nil {
+		s.claim.End()
+	}
+}
+
+// close ends the feed and what its backend server does for it.
+func (f *feed) close() {
+	if f == nil {
+		return
+	}
+	f.cancel()
+	f.lease.End()
+	f.standby.drop()
+}
+
+// open sends the request to a backend server. An answer that is no stream is returned as a whole.
+func (q *request) open(ctx context.Context, lease *pool.Lease, s Stamp) (*feed, *whole, error) {
+	f := &feed{lease: lease}
+	ctx, f.cancel = context.WithCancel(ctx)
+	if backup := q.chooseBackup(&lease.Server); backup != nil {
+		s.Backup = backup.claim.Server.Address
+		f.standby = backup
+	}
+	answer, err := send.Open(ctx, lease.Server.Address, q.outgoing(s))
+	if err != nil {
+		err = q.sendFailed(ctx, lease, err)
+		f.close()
+		return nil, nil, err
+	}
+	reply := q.Dialect.Reply(answer.Status, answer.Header)
+	if reply.IsNotRun {
+		q.sends.Add(1)
+		answer.Close()
+		f.close()
+		return nil, nil, errors.Mark(errors.Newf("backend server %s did not run the request: status %d", lease.Server.ID, answer.Status), errNotRun)
+	}
+	q.ran()
+	if err := q.checkReply(answer, reply); err != nil {
+		lease.Answered(true)
+		answer.Close()
+		f.close()
+		return nil, nil, err
+	}
+	if answer.Status >= http.StatusMultipleChoices {
+		defer f.close()
+		defer answer.Close()
+		body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+		lease.Answered(answer.Status >= http.StatusInternalServerError)
+		if err != nil {
+			return nil, nil, errors.Mark(errors.Wrap(err, "read failure"), send.ErrBroken)
+		}
+		return nil, &whole{status: answer.Status, header: answer.Header, body: body, server: lease.Server.ID}, nil
+	}
+	f.header, f.status = answer.Header, answer.Status
+	f.pieces = make(chan piece, 8)
+	go f.read(ctx, answer)
+	return f, nil, nil
+}
+
+// read passes events on until the stream or the context ends.
+func (f *feed) read(ctx context.Context, answer *send.Answer) {
+	defer answer.Close()
+	events := flow.Reader{Body: answer.Body}
+	for {
+		event, err := events.Next()
+		p := piece{number: noEvent, err: err}
+		if err == nil {
+			p.event = bytes.Clone(event)
+			p.number, err = strconv.Atoi(flow.ID(event))
+			if err != nil {
+				p.err = errors.Wrap(err, "read event ID")
+			}
+		}
+		select {
+		case f.pieces <- p:
+		case <-ctx.Done():
+			return
+		}
+		if p.err != nil {
+			return
+		}
+	}
+}
+
+// chooseBackup claims the memory for a copy of a long run; nil if the run is short or no memory is free.
+func (q *request) chooseBackup(beside *pool.Server) *standby {
+	engine := q.service.Engine
+	if engine == nil || !engine.Backups || q.expectedOutput() < longOutput {
+		return nil
+	}
+	a := q.ask()
+	a.Exclude, a.Beside = nil, beside
+	claim, err := q.Pool.ChooseCopy(a, time.Now())
+	if err != nil {
+		q.log.Info("no room for a copy", "server", beside.ID, "error", err)
+		return nil
+	}
+	return &standby{claim: claim, copy: Copy{Address: claim.Server.Address, Name: q.ID}}
+}
--- /dev/null
+++ b/internal/front/goon.go
@@ -0,0 +1,253 @@
+package front
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/send"
+)
+
+// renewPause keeps failed copies on demand apart.
+const renewPause = 300 * time.Millisecond
+
+// copied is the outcome of a copy on demand.
+type copied struct {
+	standby *standby
+	// server is the backend server that ran the stream when the copy was asked for.
+	server string
+	err    error
+}
+
+// lookAround leaves a backend server that is about to end and replaces a copy whose backend server is.
+func (s *session) lookAround() {
+	if s.current == nil {
+		return
+	}
+	server := s.current.lease.Server.ID
+	if s.Pool.IsLeaving(server) {
+		s.leave(server)
+		return
+	}
+	s.renew()
+}
+
+// leave opens the stream at its copy while the leaving backend server still works: the first event from there
+// takes over, so that the caller sees no pause.
+func (s *session) leave(server string) {
+	if s.next != nil || s.isOpening || s.isCopying || s.moves >= maxMoves {
+		return
+	}
+	by := s.current.standby
+	if by == nil || s.Pool.IsLeaving(by.claim.Server.ID) {
+		s.renew()
+		return
+	}
+	s.current.standby = nil
+	s.openAt(by, server)
+}
+
+// openAt opens the stream at a copy beside the current feed.
+func (s *session) openAt(by *standby, from string) {
+	if !s.Budget.Allow(s.service.Name, true) {
+		s.log.Info("stream stays: no budget for another send", "server", from)
+		by.drop()
+		return
+	}
+	s.moves++
+	s.log.Info("stream leaves its backend server", "from", from, "to", by.claim.Server.ID, "last_event", s.last, "copy_age", by.age())
+	lease, stamp, err := s.prepare(by)
+	if err != nil {
+		s.opened(opened{err: err})
+		return
+	}
+	s.isOpening = true
+	go func() {
+		f, err := s.reopen(s.ctx, lease, stamp)
+		s.opening <- opened{feed: f, err: err}
+	}()
+}
+
+// prepare turns a copy into a claim on its backend server and the stamp of the send.
+func (s *session) prepare(by *standby) (*pool.Lease, Stamp, error) {
+	by.drop()
+	lease, err := s.leaseFor(by.claim.Server.ID)
+	if err != nil {
+		return nil, Stamp{}, err
+	}
+	stamp := s.stamp(lease.Server.ID)
+	stamp.From, stamp.LastEvent = by.copy, s.lastEvent()
+	return lease, stamp, nil
+}
+
+// reopen opens a run that goes on from a copy; every answer but a stream is a failure.
+func (q *request) reopen(ctx context.Context, lease *pool.Lease, stamp Stamp) (*feed, error) {
+	f, answer, err := q.open(ctx, lease, stamp)
+	if answer != nil {
+		return nil, errors.Newf("backend server %s answered status %d", lease.Server.ID, answer.status)
+	}
+	return f, err
+}
+
+func (b *standby) age() time.Duration {
+	if b.taken.IsZero() {
+		return 0
+	}
+	return time.Since(b.taken)
+}
+
+// opened takes the feed that was opened beside the current one.
+func (s *session) opened(o opened) {
+	s.isOpening = false
+	if o.err != nil {
+		s.Meter.Resumed("refused")
+		s.log.Info("stream could not go on elsewhere", "error", o.err, "last_event", s.last)
+		return
+	}
+	s.next = o.feed
+}
+
+// takeOver makes the next feed the current one when its first event arrives.
+func (s *session) takeOver(p piece) (bool, error) {
+	next := s.next
+	s.next = nil
+	if p.err != nil && !errors.Is(p.err, io.EOF) {
+		s.log.Info("stream could not go on elsewhere", "error", p.err, "server", next.lease.Server.ID, "last_event", s.last)
+		s.Meter.Resumed("broken")
+		next.close()
+		return false, nil
+	}
+	s.Meter.Resumed("moved")
+	s.current.close()
+	s.current = next
+	return s.take(p)
+}
+
+// goOn continues a stream whose backend server broke: at the feed that is about to take over, at the copy, or, where
+// the route allows it, anywhere.
+func (s *session) goOn(cause error) error {
+	broken := s.current
+	if s.ctx.Err() != nil {
+		return s.cut(s.ctx.Err())
+	}
+	broken.lease.Broke(time.Now())
+	if !s.started {
+		s.suspect(broken.lease.Server)
+	}
+	s.log.Info("stream broke", "server", broken.lease.Server.ID, "last_event", s.last, "error", cause)
+	by := broken.standby
+	broken.standby = nil
+	broken.close()
+	s.current = nil
+	for ; s.moves < maxMoves; s.moves++ {
+		next, err := s.successor(by)
+		by = nil
+		if err != nil {
+			s.Meter.Resumed("lost")
+			return s.cut(errors.WithSecondaryError(cause, err))
+		}
+		if next != nil {
+			s.Meter.Resumed("resumed")
+			s.current = next
+			next.lease.Read()
+			return nil
+		}
+	}
+	return s.cut(cause)
+}
+
+// successor returns a feed that goes on with the stream, nil if another try is due, or an error if there is none.
+func (s *session) successor(by *standby) (*feed, error) {
+	if next := s.next; next != nil {
+		s.next = nil
+		return next, nil
+	}
+	if s.isOpening {
+		o := <-s.opening
+		s.isOpening = false
+		if o.err == nil {
+			return o.feed, nil
+		}
+		s.log.Info("stream could not go on elsewhere", "error", o.err, "last_event", s.last)
+	}
+	if by != nil {
+		if !s.Budget.Allow(s.service.Name, true) {
+			by.drop()
+			return nil, errors.New("no budget for another send")
+		}
+		lease, stamp, err := s.prepare(by)
+		if err == nil {
+			var f *feed
+			if f, err = s.reopen(s.ctx, lease, stamp); err == nil {
+				s.log.Info("stream goes on at its copy", "server", lease.Server.ID, "last_event", s.last)
+				return f, nil
+			}
+		}
+		s.log.Info("copy could not go on", "server", by.claim.Server.ID, "error", err)
+	}
+	if !s.started || !s.route.Resumable || int(s.runs.Load()) >= s.route.Attempts || !s.Budget.Allow(s.service.Name, true) {
+		return nil, errors.New("no copy to go on from")
+	}
+	answer, err := s.begin()
+	if answer != nil {
+		return nil, errors.Newf("status %d", answer.status)
+	}
+	if errors.Is(err, send.ErrNotSent) || errors.Is(err, errNotRun) {
+		return nil, nil
+	}
+	f := s.current
+	s.current = nil
+	return f, err
+}
+
+// renew replaces a copy whose backend server is about to end, and one that was made on demand before it expires.
+func (s *session) renew() {
+	engine := s.service.Engine
+	if engine == nil || !engine.Moves || s.next != nil || s.isOpening || s.isCopying || !s.started ||
+		s.expectedOutput() < longOutput || time.Now().Before(s.renewAfter) {
+		return
+	}
+	by := s.current.standby
+	isGone := by != nil && s.Pool.IsLeaving(by.claim.Server.ID)
+	if by != nil && !isGone && (by.taken.IsZero() || by.age() < engine.CopyTTL/2) {
+		return
+	}
+	if isGone {
+		by.drop()
+		s.current.standby, by = nil, nil
+	}
+	server := s.current.lease.Server
+	if by == nil {
+		a := s.ask()
+		a.Exclude, a.Beside = nil, &server
+		claim, err := s.Pool.ChooseCopy(a, time.Now())
+		if err != nil {
+			s.renewAfter = time.Now().Add(renewPause)
+			return
+		}
+		by = &standby{claim: claim}
+	}
+	s.current.standby = nil
+	s.isCopying = true
+	go func() {
+		made, err := s.Copies.Copy(s.ctx, server.Address, s.ID, by.claim.Server.Address, false)
+		by.copy, by.taken = made, time.Now()
+		s.copying <- copied{standby: by, server: server.ID, err: err}
+	}()
+}
+
+// copied takes the outcome of a copy on demand.
+func (s *session) copied(c copied) {
+	s.isCopying = false
+	if c.err != nil || s.current == nil || s.current.lease.Server.ID != c.server || s.current.standby != nil {
+		s.log.Info("copy on demand failed", "server", c.server, "to", c.standby.claim.Server.ID, "error", c.err)
+		c.standby.drop()
+		s.renewAfter = time.Now().Add(renewPause)
+		return
+	}
+	s.log.Info("run copied on demand", "server", c.server, "to", c.standby.claim.Server.ID, "last_event", s.last)
+	s.current.standby = c.standby
+}
--- /dev/null
+++ b/internal/front/stream.go
@@ -0,0 +1,202 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/send"
+)
+
+const (
+	// longOutput is the expected output in tokens from which a run is worth a standing copy.
+	longOutput = 64
+	// watchPeriod is how often a stream without events looks at its backend server's state.
+	watchPeriod = 100 * time.Millisecond
+	// maxMoves bounds the backend servers that one stream goes on at.
+	maxMoves = 12
+)
+
+// opened is the outcome of opening a feed beside the current one.
+type opened struct {
+	feed *feed
+	err  error
+}
+
+// session is one stream in progress. Its fields belong to the handler's goroutine.
+type session struct {
+	*request
+	ctx context.Context
+
+	// current is the feed that events are taken from, next the one that takes over with its first event.
+	current, next *feed
+	// opening and copying carry the results of the goroutines that the flags tell of.
+	opening   chan opened
+	isOpening bool
+	copying   chan copied
+	isCopying bool
+	// renewAfter keeps the next copy on demand away from the last one that failed.
+	renewAfter time.Time
+	// last is the number of the newest event that was forwarded.
+	last    int
+	started bool
+	moves   int
+}
+
+// stream answers a request with a series of events.
+func (q *request) stream(ctx context.Context) error {
+	q.Budget.Arrived(q.service.Name)
+	s := &session{request: q, last: noEvent, opening: make(chan opened, 1), copying: make(chan copied, 1)}
+	if number, err := strconv.Atoi(q.LastEvent); err == nil {
+		s.last = number
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s.ctx = ctx
+	defer s.close()
+	defer cancel()
+	for {
+		answer, err := s.begin()
+		if answer != nil {
+			if answer.status < http.StatusInternalServerError || ctx.Err() != nil || !q.mayRetry(nil) {
+				return q.deliver(answer)
+			}
+			continue
+		}
+		if err == nil {
+			err = s.pump()
+		}
+		if err == nil || s.started || ctx.Err() != nil || !q.mayRetry(err) {
+			return err
+		}
+		q.log.Info("request sent again", "route", q.route.Name, "tried", q.tried, "runs", q.runs.Load(), "error", err)
+	}
+}
+
+// begin starts a new run.
+func (s *session) begin() (*whole, error) {
+	lease, err := s.Pool.Choose(s.ask(), time.Now())
+	if err != nil {
+		return nil, err
+	}
+	s.tried = append(s.tried, lease.Server.ID)
+	stamp := s.stamp(lease.Server.ID)
+	stamp.LastEvent = s.lastEvent()
+	current, answer, err := s.open(s.ctx, lease, stamp)
+	s.current = current
+	return answer, err
+}
+
+// lastEvent is the ID from which a run has to go on; empty at a stream's start.
+func (s *session) lastEvent() string {
+	if s.last == noEvent {
+		return ""
+	}
+	return strconv.Itoa(s.last)
+}
+
+// pump forwards events until the stream ends; the stream changes over to other backend servers on the way.
+func (s *session) pump() error {
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	for {
+		var next chan piece
+		if s.next != nil {
+			next = s.next.pieces
+		}
+		select {
+		case p := <-s.current.pieces:
+			isEnd, err := s.take(p)
+			if isEnd || err != nil {
+				return err
+			}
+		case p := <-next:
+			isEnd, err := s.takeOver(p)
+			if isEnd || err != nil {
+				return err
+			}
+		case o := <-s.opening:
+			s.opened(o)
+		case c := <-s.copying:
+			s.copied(c)
+		case <-ticker.C:
+		case <-s.ctx.Done():
+			return s.cut(s.ctx.Err())
+		}
+		s.lookAround()
+	}
+}
+
+// take forwards a piece of the current feed; it reports whether the stream has come to its whole end.
+func (s *session) take(p piece) (bool, error) {
+	switch {
+	case errors.Is(p.err, io.EOF):
+		if !s.started {
+			s.writeHead(s.current.status, s.current.header)
+		}
+		s.current.lease.Answered(false)
+		s.end("answered", s.current.status, "server", s.current.lease.Server.ID, "last_event", s.last, "moves", s.moves)
+		return true, nil
+	case p.err != nil:
+		return false, s.goOn(p.err)
+	default:
+		return false, s.forward(s.current, p)
+	}
+}
+
+// forward passes an event on unless the caller has it already.
+func (s *session) forward(from *feed, p piece) error {
+	if s.last != noEvent && p.number <= s.last {
+		return nil
+	}
+	if s.last != noEvent && p.number != s.last+1 {
+		return s.cut(errors.Newf("event %d follows event %d", p.number, s.last))
+	}
+	if !s.started {
+		s.started = true
+		from.lease.Read()
+		s.Meter.FirstEvent(time.Since(s.arrived))
+		s.writeHead(from.status, from.header)
+	}
+	if _, err := s.w.Write(p.event); err != nil {
+		return errors.Mark(errors.Wrap(err, "write event"), errCallerGone)
+	}
+	s.last = p.number
+	if len(from.pieces) > 0 {
+		return nil
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return errors.Mark(errors.Wrap(err, "flush event"), errCallerGone)
+	}
+	return nil
+}
+
+// cut ends a stream that can't go on. Before the first event the caller still gets an honest failure.
+func (s *session) cut(cause error) error {
+	if !s.started {
+		return errors.Mark(cause, send.ErrBroken)
+	}
+	return errors.Mark(errors.Wrapf(cause, "after event %d", s.last), errCut)
+}
+
+func (s *session) close() {
+	s.current.close()
+	s.next.close()
+	if s.isOpening {
+		o := <-s.opening
+		o.feed.close()
+	}
+	if s.isCopying {
+		c := <-s.copying
+		c.standby.drop()
+	}
+}
+
+// leaseFor claims a backend server that the stream goes on at.
+func (s *session) leaseFor(id string) (*pool.Lease, error) {
+	return s.Pool.Claim(id, s.Prompt+s.expectedOutput(), time.Now())
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,336 @@
+// Package gossip tells the hosts of a deployment what each of them is doing, by datagrams.
+package gossip
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+)
+
+const (
+	// period is how often a host tells the others what has changed; a load that is older than an engine's
+	// batch step many times over still places requests well.
+	period = 150 * time.Millisecond
+	// heartbeat is how often a host tells the others even if nothing has changed.
+	heartbeat = time.Second
+	// silentAfter is when the load that a silent host told of is dropped; its requests have ended with it.
+	silentAfter = 2500 * time.Millisecond
+	// forgetAfter is when a silent host no longer counts for divided budgets. A host that is cut off
+	// keeps spending its part meanwhile.
+	forgetAfter = 60 * time.Second
+	// maxDatagram bounds a digest; larger ones would be fragmented.
+	maxDatagram = 8 << 10
+	// listPeriod is how often the registered hosts are asked for while none has been heard.
+	listPeriod = 3 * time.Second
+)
+
+// Registry keeps the addresses of all hosts.
+type Registry interface {
+	Register(ctx context.Context, name string, address netip.AddrPort) error
+	Addresses(ctx context.Context) (map[string]netip.AddrPort, error)
+}
+
+// Digest is what one host tells.
+type Digest struct {
+	Host string `cbor:"1,keyasint"`
+	// Incarnation is the host's start in Unix milliseconds.
+	Incarnation int64 `cbor:"2,keyasint"`
+	// Sequence orders the digests of one incarnation.
+	Sequence uint64       `cbor:"3,keyasint"`
+	Leaving  bool         `cbor:"4,keyasint,omitempty"`
+	Loads    []ServerLoad `cbor:"5,keyasint,omitempty"`
+	Crashes  []crash.Mark `cbor:"6,keyasint,omitempty"`
+}
+
+// ServerLoad is a host's load on one backend server.
+type ServerLoad struct {
+	Server  string `cbor:"1,keyasint"`
+	Runs    int    `cbor:"2,keyasint,omitempty"`
+	Tokens  int    `cbor:"3,keyasint,omitempty"`
+	Pending int    `cbor:"4,keyasint,omitempty"`
+}
+
+// Gossip exchanges digests with the other hosts.
+type Gossip struct {
+	Self     string
+	Address  netip.AddrPort
+	Registry Registry
+	Pool     *pool.Pool
+	Crashes  *crash.Table
+	Log      *slog.Logger
+
+	mu      sync.Mutex
+	peers   map[string]*peer
+	leaving bool
+	// listed tells that the registry has been read.
+	listed bool
+}
+
+// peer is another host.
+type peer struct {
+	address     netip.AddrPort
+	incarnation int64
+	sequence    uint64
+	heard       time.Time
+	// known is when the host was first heard of.
+	known  time.Time
+	silent bool
+}
+
+// Name names the controller in logs.
+func (g *Gossip) Name() string { return "gossip" }
+
+// Run exchanges digests until ctx ends.
+func (g *Gossip) Run(ctx context.Context) error {
+	var lc net.ListenConfig
+	conn, err := lc.ListenPacket(ctx, "udp4", g.Address.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", g.Address)
+	}
+	socket, ok := conn.(*net.UDPConn)
+	if !ok {
+		return errors.Newf("listener on %s is no UDP socket", g.Address)
+	}
+	ended := make(chan struct{}, 2)
+	go func() { g.receive(socket); ended <- struct{}{} }()
+	go func() { g.find(ctx); ended <- struct{}{} }()
+	g.send(ctx, socket)
+	_ = socket.Close()
+	<-ended
+	<-ended
+	return nil
+}
+
+// find registers this host and learns of the others.
+func (g *Gossip) find(ctx context.Context) {
+	registered := false
+	for ctx.Err() == nil {
+		if !registered {
+			err := g.Registry.Register(ctx, g.Self, g.Address)
+			registered = err == nil
+			if err != nil {
+				g.Log.Info("host not registered yet", "error", err)
+			}
+		}
+		if registered && (!g.isListed() || g.heardNone()) {
+			g.list(ctx)
+		}
+		timer := time.NewTimer(time.Duration((0.75 + rand.Float64()/2) * float64(listPeriod)))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+func (g *Gossip) list(ctx context.Context) {
+	all, err := g.Registry.Addresses(ctx)
+	if err != nil {
+		g.Log.Info("hosts not listed", "error", err)
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listed = true
+	for name, address := range all {
+		if name != g.Self {
+			g.meet(name, address)
+		}
+	}
+}
+
+// meet adds a host; the caller holds the lock.
+func (g *Gossip) meet(name string, address netip.AddrPort) *peer {
+	if g.peers == nil {
+		g.peers = make(map[string]*peer)
+	}
+	p := g.peers[name]
+	if p == nil {
+		p = &peer{known: time.Now()}
+		g.peers[name] = p
+		g.Log.Info("host met", "host", name, "address", address)
+	}
+	p.address = address
+	return p
+}
+
+func (g *Gossip) isListed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.listed
+}
+
+func (g *Gossip) heardNone() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		if time.Since(p.heard) < forgetAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// Leave tells the others that this host is about to end.
+func (g *Gossip) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+}
+
+// Hosts returns the number of hosts that divided budgets are divided by, this one included.
+func (g *Gossip) Hosts() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 1
+	for _, p := range g.peers {
+		if time.Since(p.heard) < forgetAfter || time.Since(p.known) < forgetAfter {
+			n++
+		}
+	}
+	return n
+}
+
+// Names returns the hosts heard lately, this one included.
+func (g *Gossip) Names() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	names := []string{g.Self}
+	for name, p := range g.peers {
+		if time.Since(p.heard) < silentAfter {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// send tells the others about this host until ctx ends.
+func (g *Gossip) send(ctx context.Context, socket *net.UDPConn) {
+	incarnation := time.Now().UnixMilli()
+	sequence := uint64(0)
+	last, lastSent := "", time.Time{}
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		d := g.digest()
+		text, err := cbor.Marshal(d)
+		if err != nil {
+			g.Log.Error("digest not encoded", "error", err)
+			continue
+		}
+		if string(text) != last || time.Since(lastSent) > heartbeat {
+			last, lastSent = string(text), time.Now()
+			sequence++
+			d.Incarnation, d.Sequence = incarnation, sequence
+			g.tell(socket, d)
+		}
+		g.expire()
+	}
+}
+
+func (g *Gossip) digest() Digest {
+	g.mu.Lock()
+	d := Digest{Host: g.Self, Leaving: g.leaving}
+	g.mu.Unlock()
+	d.Loads = loadsOf(g.Pool.Own())
+	d.Crashes = g.Crashes.Own()
+	return d
+}
+
+func (g *Gossip) tell(socket *net.UDPConn, d Digest) {
+	text, err := cbor.Marshal(d)
+	if err != nil || len(text) > maxDatagram {
+		g.Log.Error("digest not sent", "bytes", len(text), "error", err)
+		return
+	}
+	for _, address := range g.addresses() {
+		// A datagram may be lost in any case; the next one makes up for it.
+		_, _ = socket.WriteToUDPAddrPort(text, address)
+	}
+}
+
+func (g *Gossip) addresses() []netip.AddrPort {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []netip.AddrPort
+	for _, p := range g.peers {
+		if time.Since(p.heard) < forgetAfter || time.Since(p.known) < forgetAfter {
+			all = append(all, p.address)
+		}
+	}
+	return all
+}
+
+// receive takes digests until the socket is closed.
+func (g *Gossip) receive(socket *net.UDPConn) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := socket.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		var d Digest
+		if err := cbor.Unmarshal(buf[:n], &d); err != nil || d.Host == "" || d.Host == g.Self {
+			g.Log.Debug("datagram skipped", "from", from, "bytes", n, "error", err)
+			continue
+		}
+		g.take(d, from)
+	}
+}
+
+// take notes what another host tells.
+func (g *Gossip) take(d Digest, from netip.AddrPort) {
+	g.mu.Lock()
+	p := g.meet(d.Host, from)
+	if d.Incarnation < p.incarnation || d.Incarnation == p.incarnation && d.Sequence <= p.sequence {
+		g.mu.Unlock()
+		return
+	}
+	if p.silent {
+		g.Log.Info("host heard again", "host", d.Host, "silent_for", time.Since(p.heard))
+	}
+	p.incarnation, p.sequence, p.heard, p.silent = d.Incarnation, d.Sequence, time.Now(), false
+	g.mu.Unlock()
+	loads := make(map[string]pool.Load, len(d.Loads))
+	for _, l := range d.Loads {
+		loads[l.Server] = pool.Load{Runs: l.Runs, Tokens: l.Tokens, Pending: l.Pending}
+	}
+	g.Pool.SetRemote(d.Host, loads)
+	g.Crashes.Merge(d.Crashes)
+}
+
+// expire drops the loads of silent hosts.
+func (g *Gossip) expire() {
+	g.mu.Lock()
+	var gone []string
+	for name, p := range g.peers {
+		if !p.silent && !p.heard.IsZero() && time.Since(p.heard) > silentAfter {
+			p.silent = true
+			gone = append(gone, name)
+			g.Log.Info("host silent", "host", name, "heard", time.Since(p.heard))
+		}
+	}
+	g.mu.Unlock()
+	for _, name := range gone {
+		g.Pool.SetRemote(name, nil)
+	}
+}
--- /dev/null
+++ b/internal/pool/choose.go
@@ -0,0 +1,237 @@
+package pool
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonspur/tarragonspur/internal/policy"
+)
+
+// ErrNoServer says that no backend server may take the request.
+var ErrNoServer = errors.New("no backend server takes the request")
+
+// The costs that order backend servers, as milliseconds of expected delay.
+const (
+	// prefillTokensPerMS is the speed at which an engine reads prompts, from the deployments' sheets.
+	prefillTokensPerMS = 14.0
+	// runCost is the slowdown of a token by each further run of the batch over the length of an event.
+	runCost = 3.0
+	// memoryFree is the part of an engine's memory that may be committed before preemption threatens.
+	memoryFree = 0.85
+	// memoryCost is the cost of committing all of an engine's memory once more.
+	memoryCost = 4000.0
+	// queueCost is the service time of a plain request that fills all slots of a backend server.
+	queueCost = 60.0
+	// regionCost is the handshake and the round trip over the link between regions.
+	regionCost = 80.0
+	// domainCost keeps traffic in its failure domain where all else is equal.
+	domainCost = 6.0
+	// suspectCost ranks a backend server that has just failed behind all others.
+	suspectCost = 20000.0
+	// failureCost is the delay of a request that fails and is sent again.
+	failureCost = 1500.0
+	// coldCost ranks a cold backend server behind warm ones.
+	coldCost = 120.0
+	// jitterCost spreads hosts that see the same loads.
+	jitterCost = 4.0
+)
+
+// Ask is what a request needs of a backend server.
+type Ask struct {
+	Service *policy.Service
+	// Regions lists where the request may be served; each non-empty list binds.
+	Regions [][]string
+	// Exclude lists backend servers that have been tried.
+	Exclude []string
+	// Prompt is the number of prompt tokens, and Tokens the memory that the run is expected to need.
+	Prompt int
+	Tokens int
+	// Beside names the backend server that a copy has to stand apart from; empty for runs.
+	Beside *Server
+}
+
+// Lease is one request's claim on a backend server.
+type Lease struct {
+	Server Server
+
+	pool    *Pool
+	entry   *entry
+	load    Load
+	pending int
+	ended   bool
+}
+
+// Choose claims the backend server with the lowest cost.
+func (p *Pool) Choose(a Ask, now time.Time) (*Lease, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *entry
+	lowest := math.Inf(1)
+	for _, e := range p.servers {
+		if !p.fits(e, a, now) {
+			continue
+		}
+		if c := p.cost(e, a, now); c < lowest {
+			best, lowest = e, c
+		}
+	}
+	if best == nil {
+		return nil, ErrNoServer
+	}
+	if best.isCold(now) {
+		best.coldSends = append(best.coldSends, now)
+	}
+	return p.lease(best, Load{Runs: 1, Tokens: a.Tokens, Pending: a.Prompt}), nil
+}
+
+// ChooseCopy claims the memory for a copy of a run beside the backend server that it runs on.
+func (p *Pool) ChooseCopy(a Ask, now time.Time) (*Lease, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *entry
+	lowest := math.Inf(1)
+	for _, e := range p.servers {
+		if !p.fits(e, a, now) || e.isSuspect(now) || a.Service.Engine == nil {
+			continue
+		}
+		if c, ok := p.copyCost(e, a); ok && c < lowest {
+			best, lowest = e, c
+		}
+	}
+	if best == nil {
+		return nil, ErrNoServer
+	}
+	return p.lease(best, Load{Tokens: a.Tokens}), nil
+}
+
+// Claim claims a known backend server for a run that goes on there.
+func (p *Pool) Claim(id string, tokens int, now time.Time) (*Lease, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.servers[id]
+	if e == nil || !p.isOpen(e, now) {
+		return nil, ErrNoServer
+	}
+	return p.lease(e, Load{Runs: 1, Tokens: tokens}), nil
+}
+
+func (p *Pool) lease(e *entry, l Load) *Lease {
+	e.own.add(l)
+	return &Lease{Server: e.Server, pool: p, entry: e, load: l, pending: l.Pending}
+}
+
+func (p *Pool) fits(e *entry, a Ask, now time.Time) bool {
+	if e.Service != a.Service.Name || !p.isOpen(e, now) || slices.Contains(a.Exclude, e.ID) {
+		return false
+	}
+	for _, regions := range a.Regions {
+		if len(regions) > 0 && !slices.Contains(regions, e.Region) {
+			return false
+		}
+	}
+	return !e.isCold(now) || p.hasColdRoom(e, a.Service.ColdPerSecond, now)
+}
+
+// hasColdRoom reports whether this host's part of a cold backend server's bound allows one more send.
+func (p *Pool) hasColdRoom(e *entry, perSecond float64, now time.Time) bool {
+	if perSecond <= 0 {
+		return true
+	}
+	if p.ColdShare != nil {
+		perSecond = p.ColdShare(e.ID, perSecond)
+	}
+	e.coldSends = slices.DeleteFunc(e.coldSends, func(at time.Time) bool { return now.Sub(at) > time.Second })
+	return float64(len(e.coldSends)+1) <= perSecond
+}
+
+func (p *Pool) cost(e *entry, a Ask, now time.Time) float64 {
+	c := p.jitter()*jitterCost + e.failing*failureCost
+	l := e.load()
+	if engine := a.Service.Engine; engine != nil {
+		c += float64(l.Pending)/prefillTokensPerMS + runCost*float64(l.Runs)
+		if over := float64(l.Tokens+a.Tokens)/float64(engine.MemoryTokens) - memoryFree; over > 0 {
+			c += memoryCost * over
+		}
+	} else {
+		c += queueCost * float64(l.Runs) / float64(max(1, e.Slots))
+	}
+	if e.Region != p.Region {
+		c += regionCost
+	}
+	if e.Domain != p.Domain {
+		c += domainCost
+	}
+	if e.isCold(now) {
+		c += coldCost
+	}
+	if e.isSuspect(now) {
+		c += suspectCost
+	}
+	return c
+}
+
+// copyCost ranks the places of a copy: free memory first, then another failure domain of the same region.
+func (p *Pool) copyCost(e *entry, a Ask) (float64, bool) {
+	if e.ID == a.Beside.ID {
+		return 0, false
+	}
+	used := float64(e.load().Tokens+a.Tokens) / float64(a.Service.Engine.MemoryTokens)
+	if used > 1 {
+		return 0, false
+	}
+	c := used
+	if e.Domain == a.Beside.Domain {
+		c += 0.05
+	}
+	if e.Region != a.Beside.Region {
+		c += 0.25
+	}
+	return c + 0.02*p.jitter(), true
+}
+
+// Read notes that a part of the lease's prompt has been read, which its first event shows.
+func (l *Lease) Read() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.entry.own.Pending -= l.pending
+	l.pending = 0
+}
+
+// End gives the claim back.
+func (l *Lease) End() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.ended = true
+	l.entry.own.add(Load{Runs: -l.load.Runs, Tokens: -l.load.Tokens, Pending: -l.pending})
+}
+
+// Answered notes that the backend server answered, well or with a failure of its own.
+func (l *Lease) Answered(failed bool) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	e := l.entry
+	e.strikes = 0
+	e.suspectUntil = time.Time{}
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	e.failing += failureWeight * (outcome - e.failing)
+}
+
+// Broke notes that the backend server could not be reached or broke a connection.
+func (l *Lease) Broke(now time.Time) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	e := l.entry
+	pause := min(suspectMax, suspectFirst<<min(e.strikes, 8))
+	e.strikes++
+	e.suspectUntil = now.Add(pause)
+	e.failing += failureWeight * (1 - e.failing)
+}
--- /dev/null
+++ b/internal/send/send.go
@@ -0,0 +1,155 @@
+// Package send carries one request to one backend server over a connection of its own.
+package send
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of one send.
+var (
+	// ErrNotSent says that no byte of the request left the host.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrBroken says that the connection failed after the request was sent, so that it may have run.
+	ErrBroken = errors.New("connection to the backend server broke")
+	// ErrAnswer says that the backend server sent bytes that are no HTTP answer.
+	ErrAnswer = errors.New("answer is not valid HTTP")
+)
+
+// The limits of one connection.
+const (
+	// connectTimeout covers one lost packet of the handshake, which TCP repeats after a second.
+	connectTimeout = 1500 * time.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find a path that went silent within about 4 s.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = 700 * time.Millisecond
+	keepAliveCount    = 3
+	// readBufferBytes holds the events of a stream that arrive together.
+	readBufferBytes = 4 << 10
+	// inlineBodyBytes is the largest body that is written before the answer is read.
+	inlineBodyBytes = 16 << 10
+)
+
+// Request is what a backend server receives.
+type Request struct {
+	Method string
+	// Target is the path and query as the caller wrote them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// HasBody tells an empty body from none.
+	HasBody bool
+}
+
+// Answer is a backend server's answer; its body is read from the connection.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.Reader
+	// Length is the length of the body in bytes, or -1 where the answer states none.
+	Length int64
+
+	conn    net.Conn
+	release func() bool
+}
+
+// Close ends the connection, which cancels what the backend server still does for the request.
+func (a *Answer) Close() {
+	a.release()
+	_ = a.conn.Close()
+}
+
+// Open sends a request to a backend server and reads the head of its answer. The context bounds the whole
+// exchange: when it ends, the connection is closed.
+func Open(ctx context.Context, to netip.AddrPort, r *Request) (*Answer, error) {
+	dialer := net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", to.String())
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", to), ErrNotSent)
+	}
+	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	answer, err := exchange(conn, r)
+	if err != nil {
+		release()
+		_ = conn.Close()
+		if ctx.Err() != nil {
+			err = errors.CombineErrors(ctx.Err(), err)
+		}
+		return nil, err
+	}
+	answer.conn, answer.release = conn, release
+	return answer, nil
+}
+
+func exchange(conn net.Conn, r *Request) (*Answer, error) {
+	head := appendHead(make([]byte, 0, 1<<10), r)
+	if len(r.Body) <= inlineBodyBytes {
+		if _, err := conn.Write(append(head, r.Body...)); err != nil {
+			return nil, errors.Mark(errors.Wrap(err, "send request"), ErrBroken)
+		}
+	} else {
+		// The backend server may answer before it has read a long body, so the body is written beside the reading.
+		// The write ends with the connection.
+		go func() {
+			if _, err := conn.Write(head); err == nil {
+				_, _ = conn.Write(r.Body)
+			}
+		}()
+	}
+	br := bufio.NewReaderSize(conn, readBufferBytes)
+	for {
+		resp, err := http.ReadResponse(br, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, readError(err)
+		}
+		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
+			continue
+		}
+		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength}, nil
+	}
+}
+
+// readError tells a broken connection from bytes that are no answer.
+func readError(err error) error {
+	var network net.Error
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) || errors.Is(err, net.ErrClosed) {
+		return errors.Mark(errors.Wrap(err, "read answer"), ErrBroken)
+	}
+	return errors.Mark(errors.Wrap(err, "read answer"), ErrAnswer)
+}
+
+// appendHead writes the request line and the headers; net/http has checked the names and values on their way in.
+func appendHead(b []byte, r *Request) []byte {
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	for name, values := range r.Header {
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if r.HasBody || len(r.Body) > 0 {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	return append(b, "Connection: close\r\n\r\n"...)
+}
--- /dev/null
+++ b/internal/site/build.go
@@ -0,0 +1,200 @@
+package site
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/dig"
+
+	"github.com/tarragonspur/tarragonspur/internal/budget"
+	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/front"
+	"github.com/tarragonspur/tarragonspur/internal/gossip"
+	"github.com/tarragonspur/tarragonspur/internal/httpd"
+	"github.com/tarragonspur/tarragonspur/internal/logs"
+	"github.com/tarragonspur/tarragonspur/internal/metric"
+	"github.com/tarragonspur/tarragonspur/internal/policy"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/watch"
+	"github.com/tarragonspur/tarragonspur/pkg/config"
+	"github.com/tarragonspur/tarragonspur/platform"
+)
+
+const (
+	// tableWait bounds the age of the newest confirmation of the table, and so how soon keys are refused after the store is lost.
+	tableWait = 1500 * time.Millisecond
+	// serversWait bounds the calls of an unchanged list of backend servers.
+	serversWait = 20 * time.Second
+	// collect gathers changes of backend servers into one call.
+	collect = 250 * time.Millisecond
+	// keyMargin is the part of the bound on keys that a table may age.
+	keyMargin = 0.88
+	// coldMargin is the part of a cold backend server's bound that the hosts use together.
+	coldMargin = 1.1
+)
+
+// constructors is the visible list of all that a host is made of.
+var constructors = [...]any{
+	newStore,
+	newHolder,
+	newPool,
+	newHealth,
+	newCrashes,
+	newGossip,
+	newBudget,
+	newFront,
+	metric.New,
+	metric.NewFront,
+	newTables,
+	newServers,
+	newEvacuations,
+	newControllers,
+	newListeners,
+}
+
+// Build composes a host from its settings and opens its listeners.
+func Build(ctx context.Context, s config.Settings, lines *logs.Writer, log *slog.Logger) (*Site, error) {
+	c := dig.New()
+	values := []any{
+		func() context.Context { return ctx },
+		func() config.Settings { return s },
+		func() *logs.Writer { return lines },
+		func() *slog.Logger { return log },
+	}
+	for _, constructor := range append(values, constructors[:]...) {
+		if err := c.Provide(constructor); err != nil {
+			return nil, errors.Wrap(err, "compose host")
+		}
+	}
+	var built *Site
+	err := c.Invoke(func(p parts) { built = &Site{parts: p} })
+	return built, errors.Wrap(err, "compose host")
+}
+
+func newStore(s config.Settings, log *slog.Logger) *platform.Store {
+	return platform.NewStore(s.Store, log)
+}
+
+func newHolder() *policy.Holder { return &policy.Holder{} }
+
+func newPool(s config.Settings) *pool.Pool { return &pool.Pool{Domain: s.Domain, Region: s.Region} }
+
+func newHealth(log *slog.Logger) *watch.Health { return &watch.Health{Log: log} }
+
+func newCrashes(log *slog.Logger) *crash.Table { return &crash.Table{Log: log} }
+
+func newGossip(s config.Settings, st *platform.Store, p *pool.Pool, t *crash.Table, log *slog.Logger) *gossip.Gossip {
+	g := &gossip.Gossip{Self: s.Host, Address: s.Peers, Registry: platform.Hosts{Store: st}, Pool: p, Crashes: t, Log: log}
+	p.ColdShare = func(server string, perSecond float64) float64 { return g.ColdShare(server, coldMargin*perSecond) }
+	return g
+}
+
+func newBudget(s config.Settings, g *gossip.Gossip) *budget.Shared {
+	return &budget.Shared{Ratio: s.Platform.RetryRatio, Extra: s.Platform.RetryExtra, Hosts: g.Hosts}
+}
+
+func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, t *crash.Table, m *metric.Front, log *slog.Logger) *front.Front {
+	f := &front.Front{
+		Decisions: front.Decisions{Tables: h, Pool: p},
+		Dialect:   platform.Dialect{}, Copies: platform.Engines{},
+		Budget: b, Guard: t, Meter: m, Log: log,
+	}
+	f.SetKeyAge(keyAge(s))
+	return f
+}
+
+// keyAge is the age of the table at which keys are refused: the time that a request takes to be decided is left of the bound.
+func keyAge(s config.Settings) time.Duration {
+	return time.Duration(keyMargin * float64(s.Platform.KeyAge))
+}
+
+func newTables(st *platform.Store, h *policy.Holder, health *watch.Health, log *slog.Logger) *watch.Follower[*policy.Table] {
+	return &watch.Follower[*policy.Table]{
+		Kind: "table", Source: platform.Tables{Store: st}, Sink: &watch.Tables{Holder: h, Log: log},
+		Wait: tableWait, Pause: collect / 2, Health: health, Log: log,
+	}
+}
+
+func newServers(s config.Settings, st *platform.Store, p *pool.Pool, health *watch.Health, log *slog.Logger) *watch.Follower[pool.Server] {
+	return &watch.Follower[pool.Server]{
+		Kind: "backend servers", Source: platform.Servers{Store: st, Regions: s.Platform.Regions},
+		Sink: &watch.Servers{Pool: p, Health: health, Log: log}, Wait: serversWait, Pause: collect, Health: health, Log: log,
+	}
+}
+
+func newEvacuations(st *platform.Store, p *pool.Pool, health *watch.Health, log *slog.Logger) *watch.Follower[string] {
+	return &watch.Follower[string]{
+		Kind: "failure domains", Source: platform.Evacuations{Store: st}, Sink: &watch.Evacuations{Pool: p, Log: log},
+		Wait: serversWait, Pause: collect, Health: health, Log: log,
+	}
+}
+
+// newControllers is the visible list of the host's activities.
+func newControllers(t *watch.Follower[*policy.Table], s *watch.Follower[pool.Server], e *watch.Follower[string], g *gossip.Gossip) []Controller {
+	return []Controller{t, s, e, g}
+}
+
+// listeners are the open listeners of a host.
+type listeners struct{ callers, ready, metrics net.Listener }
+
+func newListeners(ctx context.Context, s config.Settings) (listeners, error) {
+	var l listeners
+	for _, one := range []struct {
+		address netip.AddrPort
+		to      *net.Listener
+	}{
+		{s.Callers, &l.callers},
+		{s.Platform.Ready, &l.ready},
+		{s.Metrics, &l.metrics},
+	} {
+		opened, err := httpd.Listen(ctx, one.address.String())
+		if err != nil {
+			l.close()
+			return listeners{}, err
+		}
+		*one.to = opened
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.ready, l.metrics} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+// parts are what a site is composed of.
+type parts struct {
+	dig.In
+
+	Settings    config.Settings
+	Listeners   listeners
+	Front       *front.Front
+	Holder      *policy.Holder
+	Pool        *pool.Pool
+	Gossip      *gossip.Gossip
+	Metrics     *metric.Set
+	Lines       *logs.Writer
+	Controllers []Controller
+	Log         *slog.Logger
+}
+
+// callerServer returns the server towards callers.
+func (s *Site) callerServer() *http.Server {
+	limits := s.Settings.Limits
+	return &http.Server{
+		Handler:                      s.Front,
+		DisableGeneralOptionsHandler: true,
+		MaxHeaderBytes:               limits.HeaderBytes,
+		ReadHeaderTimeout:            time.Duration(limits.HeaderRead),
+		IdleTimeout:                  idleTimeout,
+		ErrorLog:                     slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
+	}
+}
--- /dev/null
+++ b/internal/watch/health.go
@@ -0,0 +1,52 @@
+package watch
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// returnGrace is how long after the store's return entries that lapsed meanwhile may take to come back.
+const returnGrace = 2 * time.Second
+
+// Health is what this host has seen of the store. The zero value has seen nothing.
+type Health struct {
+	Log *slog.Logger
+
+	mu       sync.Mutex
+	failed   int
+	since    time.Time
+	returned time.Time
+}
+
+// Note takes the outcome of a call. One failed call is no outage yet, since a single connection may break.
+func (h *Health) Note(ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	switch {
+	case ok && h.failed > 0:
+		h.returned = now
+		h.Log.Info("store regained", "failed_calls", h.failed, "away", now.Sub(h.since))
+		h.failed = 0
+	case !ok:
+		if h.failed == 0 {
+			h.since = now
+			h.Log.Warn("store lost")
+		}
+		h.failed++
+	}
+}
+
+// GoneAt returns the time at which an entry that vanished now is to be taken as gone: now, unless the store was away.
+func (h *Health) GoneAt(now time.Time) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failed > 0 {
+		return now.Add(returnGrace)
+	}
+	if until := h.returned.Add(returnGrace); until.After(now) {
+		return until
+	}
+	return now
+}
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -44,7 +44,6 @@
 		addr netip.AddrPort
 	}{
 		{"callers", s.Callers},
-		{"operators", s.Operators},
 		{"peers", s.Peers},
 		{"metrics", s.Metrics},
 		{"store", s.Store},
@@ -52,6 +51,11 @@
 	for _, a := range addresses {
 		c.require(a.addr.IsValid(), "an address and port such as \"10.0.0.1:8080\"", "%s", a.path)
 	}
+	if s.Platform == nil {
+		c.require(s.Operators.IsValid(), "an address and port such as \"10.0.0.1:8080\"", "operators")
+	} else {
+		s.Platform.check(&c)
+	}
 	for i, k := range s.OperatorKeys {
 		c.require(isName(k.Name), "a name", "operator_keys[%d].name", i)
 		c.require(isHash(k.Hash), "a SHA-256 in lower-case hexadecimal", "operator_keys[%d].hash", i)
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -51,6 +51,9 @@
 	Limits       Limits        `json:"limits"`
 	Timing       Timing        `json:"timing"`
 	TLS          TLS           `json:"tls"`
+	// Platform is set where operators and backend servers speak through the users' platform; the operators'
+	// interface of the host is not served there.
+	Platform *Platform `json:"platform,omitempty"`
 }
 
 // OperatorKey is one operator's key.
--- /dev/null
+++ b/pkg/config/platform.go
@@ -0,0 +1,31 @@
+package config
+
+import "net/netip"
+
+// Platform are the settings of a host that runs on the users' platform: operators write their table and the
+// failure domains that are out into the platform's store, and backend servers register themselves there.
+type Platform struct {
+	// Ready is the address that answers the platform's readiness checks.
+	Ready netip.AddrPort `json:"ready"`
+	// Regions maps each failure domain to its region.
+	Regions map[string]string `json:"regions"`
+	// KeyAge is the age of the table beyond which keys are refused, since they may have been taken away; 0 means no bound.
+	KeyAge Duration `json:"key_age"`
+	// RetryRatio and RetryExtra bound the repeated sends to a service by all hosts together, per window of seconds.
+	RetryRatio float64 `json:"retry_ratio"`
+	RetryExtra float64 `json:"retry_extra"`
+	// Grace is the time from the signal to stop to the process's end.
+	Grace Duration `json:"grace"`
+	// MemoryMB is the memory that the process may use.
+	MemoryMB int64 `json:"memory_mb"`
+}
+
+func (p *Platform) check(c *checker) {
+	c.require(p.Ready.IsValid(), "an address and port such as \"10.0.0.1:8080\"", "platform.ready")
+	c.require(len(p.Regions) > 0, "each failure domain with its region", "platform.regions")
+	c.require(p.KeyAge >= 0, "a duration of zero or more", "platform.key_age")
+	c.require(p.RetryRatio >= 0, "zero or more", "platform.retry_ratio")
+	c.require(p.RetryExtra >= 0, "zero or more", "platform.retry_extra")
+	c.require(p.Grace > 0, "a positive duration such as \"8s\"", "platform.grace")
+	c.require(p.MemoryMB > 0, "a positive number of megabytes", "platform.memory_mb")
+}
