--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -15,6 +15,9 @@
 	"github.com/tarragonspur/tarragonspur/internal/send"
 )
 
+// freeTimeout bounds the call that gives up a copy; a copy that is not freed expires by itself.
+const freeTimeout = time.Second
+
 // noEvent is the number of the event before a stream's first.
 const noEvent = -1
 
@@ -44,20 +47,41 @@
 	taken time.Time
 }
 
-func (s *standby) drop() {
+// used ends the claim of a copy that a run goes on from, or that its engine has given up by itself.
+func (s *standby) used() {
 	if s != nil {
 		s.claim.End()
 	}
 }
 
+// discard gives up a copy that nothing will go on from, so that its memory is free again.
+func (q *request) discard(s *standby) {
+	if s == nil {
+		return
+	}
+	s.claim.End()
+	if s.copy.Name == "" {
+		return
+	}
+	q.active.Add(1)
+	go func() {
+		defer q.active.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		if err := q.Copies.Free(ctx, s.claim.Server.Address, s.copy.Name); err != nil {
+			q.log.Info("copy not freed", "server", s.claim.Server.ID, "copy", s.copy.Name, "error", err)
+		}
+	}()
+}
+
 // close ends the feed and what its backend server does for it.
-func (f *feed) close() {
+func (q *request) close(f *feed) {
 	if f == nil {
 		return
 	}
 	f.cancel()
 	f.lease.End()
-	f.standby.drop()
+	q.discard(f.standby)
 }
 
 // open sends the request to a backend server. An answer that is no stream is returned as a whole.
@@ -71,25 +95,25 @@
 	answer, err := send.Open(ctx, lease.Server.Address, q.outgoing(s))
 	if err != nil {
 		err = q.sendFailed(ctx, lease, err)
-		f.close()
+		q.close(f)
 		return nil, nil, err
 	}
 	reply := q.Dialect.Reply(answer.Status, answer.Header)
 	if reply.IsNotRun {
 		q.sends.Add(1)
 		answer.Close()
-		f.close()
+		q.close(f)
 		return nil, nil, errors.Mark(errors.Newf("backend server %s did not run the request: status %d", lease.Server.ID, answer.Status), errNotRun)
 	}
 	q.ran()
 	if err := q.checkReply(answer, reply); err != nil {
 		lease.Answered(true)
 		answer.Close()
-		f.close()
+		q.close(f)
 		return nil, nil, err
 	}
 	if answer.Status >= http.StatusMultipleChoices {
-		defer f.close()
+		defer q.close(f)
 		defer answer.Close()
 		body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
 		lease.Answered(answer.Status >= http.StatusInternalServerError)
@@ -137,9 +161,8 @@
 	}
 	a := q.ask()
 	a.Exclude, a.Beside = nil, beside
-	claim, err := q.Pool.ChooseCopy(a, time.Now())
+	claim, err := q.Pool.ChooseCopy(a, pool.StandingRoom, time.Now())
 	if err != nil {
-		q.log.Info("no room for a copy", "server", beside.ID, "error", err)
 		return nil
 	}
 	return &standby{claim: claim, copy: Copy{Address: claim.Server.Address, Name: q.ID}}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,6 +28,9 @@
 	maxBodyBytes = 4 << 20
 	// defaultPatience bounds requests whose caller and route state no time limit.
 	defaultPatience = 60 * time.Second
+	// growthTokens is the memory beyond what a run holds that is kept for its next output: what an engine
+	// makes in some three seconds.
+	growthTokens = 300
 	// writeSlack is the time after a request's limit in which its last bytes may still leave.
 	writeSlack = 300 * time.Millisecond
 )
@@ -197,7 +200,7 @@
 
 // ask describes the backend server that the request needs.
 func (q *request) ask() pool.Ask {
-	a := pool.Ask{Service: q.service, Exclude: q.tried, Prompt: q.Prompt, Tokens: q.Prompt + q.expectedOutput()}
+	a := pool.Ask{Service: q.service, Exclude: q.tried, Prompt: q.Prompt, Tokens: q.Prompt + growthTokens}
 	a.Regions = append(a.Regions, q.route.Regions)
 	if q.workspace != nil {
 		a.Regions = append(a.Regions, q.workspace.Regions)
--- a/internal/front/goon.go
+++ b/internal/front/goon.go
@@ -12,7 +12,7 @@
 )
 
 // renewPause keeps failed copies on demand apart.
-const renewPause = 300 * time.Millisecond
+const renewPause = 60 * time.Millisecond
 
 // copied is the outcome of a copy on demand.
 type copied struct {
@@ -32,7 +32,10 @@
 		s.leave(server)
 		return
 	}
-	s.renew()
+	if by := s.current.standby; by != nil && s.Pool.IsLeaving(by.claim.Server.ID) {
+		by.used()
+		s.current.standby = nil
+	}
 }
 
 // leave opens the stream at its copy while the leaving backend server still works: the first event from there
@@ -43,7 +46,7 @@
 	}
 	by := s.current.standby
 	if by == nil || s.Pool.IsLeaving(by.claim.Server.ID) {
-		s.renew()
+		s.copyNow()
 		return
 	}
 	s.current.standby = nil
@@ -54,7 +57,7 @@
 func (s *session) openAt(by *standby, from string) {
 	if !s.Budget.Allow(s.service.Name, true) {
 		s.log.Info("stream stays: no budget for another send", "server", from)
-		by.drop()
+		s.discard(by)
 		return
 	}
 	s.moves++
@@ -73,7 +76,7 @@
 
 // prepare turns a copy into a claim on its backend server and the stamp of the send.
 func (s *session) prepare(by *standby) (*pool.Lease, Stamp, error) {
-	by.drop()
+	by.used()
 	lease, err := s.leaseFor(by.claim.Server.ID)
 	if err != nil {
 		return nil, Stamp{}, err
@@ -117,11 +120,11 @@
 	if p.err != nil && !errors.Is(p.err, io.EOF) {
 		s.log.Info("stream could not go on elsewhere", "error", p.err, "server", next.lease.Server.ID, "last_event", s.last)
 		s.Meter.Resumed("broken")
-		next.close()
+		s.request.close(next)
 		return false, nil
 	}
 	s.Meter.Resumed("moved")
-	s.current.close()
+	s.request.close(s.current)
 	s.current = next
 	return s.take(p)
 }
@@ -140,7 +143,7 @@
 	s.log.Info("stream broke", "server", broken.lease.Server.ID, "last_event", s.last, "error", cause)
 	by := broken.standby
 	broken.standby = nil
-	broken.close()
+	s.request.close(broken)
 	s.current = nil
 	for ; s.moves < maxMoves; s.moves++ {
 		next, err := s.successor(by)
@@ -175,7 +178,7 @@
 	}
 	if by != nil {
 		if !s.Budget.Allow(s.service.Name, true) {
-			by.drop()
+			s.discard(by)
 			return nil, errors.New("no budget for another send")
 		}
 		lease, stamp, err := s.prepare(by)
@@ -203,34 +206,22 @@
 	return f, err
 }
 
-// renew replaces a copy whose backend server is about to end, and one that was made on demand before it expires.
-func (s *session) renew() {
+// copyNow copies the run to a backend server that has room, so that it can go on there.
+func (s *session) copyNow() {
 	engine := s.service.Engine
-	if engine == nil || !engine.Moves || s.next != nil || s.isOpening || s.isCopying || !s.started ||
-		s.expectedOutput() < longOutput || time.Now().Before(s.renewAfter) {
-		return
-	}
-	by := s.current.standby
-	isGone := by != nil && s.Pool.IsLeaving(by.claim.Server.ID)
-	if by != nil && !isGone && (by.taken.IsZero() || by.age() < engine.CopyTTL/2) {
+	if engine == nil || !engine.Moves || !s.started || s.expectedOutput() < longOutput || time.Now().Before(s.renewAfter) {
 		return
 	}
-	if isGone {
-		by.drop()
-		s.current.standby, by = nil, nil
-	}
 	server := s.current.lease.Server
-	if by == nil {
-		a := s.ask()
-		a.Exclude, a.Beside = nil, &server
-		claim, err := s.Pool.ChooseCopy(a, time.Now())
-		if err != nil {
-			s.renewAfter = time.Now().Add(renewPause)
-			return
-		}
-		by = &standby{claim: claim}
+	a := s.ask()
+	a.Exclude, a.Beside, a.Tokens = s.refused, &server, s.held()
+	claim, err := s.Pool.ChooseCopy(a, pool.MovingRoom, time.Now())
+	if err != nil {
+		s.refused = nil
+		s.renewAfter = time.Now().Add(renewPause)
+		return
 	}
-	s.current.standby = nil
+	by := &standby{claim: claim}
 	s.isCopying = true
 	go func() {
 		made, err := s.Copies.Copy(s.ctx, server.Address, s.ID, by.claim.Server.Address, false)
@@ -244,7 +235,8 @@
 	s.isCopying = false
 	if c.err != nil || s.current == nil || s.current.lease.Server.ID != c.server || s.current.standby != nil {
 		s.log.Info("copy on demand failed", "server", c.server, "to", c.standby.claim.Server.ID, "error", c.err)
-		c.standby.drop()
+		s.refused = append(s.refused, c.standby.claim.Server.ID)
+		s.discard(c.standby)
 		s.renewAfter = time.Now().Add(renewPause)
 		return
 	}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -16,6 +16,8 @@
 const (
 	// longOutput is the expected output in tokens from which a run is worth a standing copy.
 	longOutput = 64
+	// holdEvery is the number of events between two updates of the memory that a run holds.
+	holdEvery = 8
 	// watchPeriod is how often a stream without events looks at its backend server's state.
 	watchPeriod = 100 * time.Millisecond
 	// maxMoves bounds the backend servers that one stream goes on at.
@@ -42,10 +44,13 @@
 	isCopying bool
 	// renewAfter keeps the next copy on demand away from the last one that failed.
 	renewAfter time.Time
+	// refused lists the backend servers that had no room for a copy.
+	refused []string
 	// last is the number of the newest event that was forwarded.
 	last    int
 	started bool
 	moves   int
+	pace    pace
 }
 
 // stream answers a request with a series of events.
@@ -139,7 +144,11 @@
 			s.writeHead(s.current.status, s.current.header)
 		}
 		s.current.lease.Answered(false)
-		s.end("answered", s.current.status, "server", s.current.lease.Server.ID, "last_event", s.last, "moves", s.moves)
+		if by := s.current.standby; by != nil && by.taken.IsZero() {
+			by.used()
+			s.current.standby = nil
+		}
+		s.end("answered", s.current.status, append(s.pace.fields(), "server", s.current.lease.Server.ID, "last_event", s.last, "moves", s.moves)...)
 		return true, nil
 	case p.err != nil:
 		return false, s.goOn(p.err)
@@ -162,10 +171,14 @@
 		s.Meter.FirstEvent(time.Since(s.arrived))
 		s.writeHead(from.status, from.header)
 	}
+	s.pace.event(time.Now(), s.arrived, p.number)
 	if _, err := s.w.Write(p.event); err != nil {
 		return errors.Mark(errors.Wrap(err, "write event"), errCallerGone)
 	}
 	s.last = p.number
+	if s.last%holdEvery == 0 {
+		s.hold()
+	}
 	if len(from.pieces) > 0 {
 		return nil
 	}
@@ -175,6 +188,22 @@
 	return nil
 }
 
+// held is the memory that the stream's run holds, with what it makes next.
+func (s *session) held() int {
+	return s.Prompt + (s.last+1)*s.service.Engine.EventTokens + growthTokens
+}
+
+// hold updates the claims of the run and its copy.
+func (s *session) hold() {
+	if s.service.Engine == nil || s.current == nil {
+		return
+	}
+	s.current.lease.Hold(s.held())
+	if by := s.current.standby; by != nil {
+		by.claim.Hold(s.held())
+	}
+}
+
 // cut ends a stream that can't go on. Before the first event the caller still gets an honest failure.
 func (s *session) cut(cause error) error {
 	if !s.started {
@@ -184,19 +213,19 @@
 }
 
 func (s *session) close() {
-	s.current.close()
-	s.next.close()
+	s.request.close(s.current)
+	s.request.close(s.next)
 	if s.isOpening {
 		o := <-s.opening
-		o.feed.close()
+		s.request.close(o.feed)
 	}
 	if s.isCopying {
 		c := <-s.copying
-		c.standby.drop()
+		s.discard(c.standby)
 	}
 }
 
 // leaseFor claims a backend server that the stream goes on at.
 func (s *session) leaseFor(id string) (*pool.Lease, error) {
-	return s.Pool.Claim(id, s.Prompt+s.expectedOutput(), time.Now())
+	return s.Pool.Claim(id, s.held(), time.Now())
 }
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -72,6 +72,8 @@
 type Copies interface {
 	// Copy sends what a run holds to another backend server and returns the copy's name. A final copy stops the run.
 	Copy(ctx context.Context, at netip.AddrPort, run string, to netip.AddrPort, final bool) (Copy, error)
+	// Free gives up a copy that a backend server holds.
+	Free(ctx context.Context, at netip.AddrPort, name string) error
 }
 
 // Decisions are the tables that requests are decided by.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -102,6 +102,8 @@
 	// Moves and Backups tell whether a run's memory can be copied on demand and continuously.
 	Moves   bool
 	Backups bool
+	// EventTokens is the number of tokens that one event of a stream holds.
+	EventTokens int
 	// CopyTTL is how long a copy is kept after its last part.
 	CopyTTL time.Duration
 }
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -39,6 +39,13 @@
 	jitterCost = 4.0
 )
 
+// The costs that order the places of copies, as parts of an engine's memory.
+const (
+	copyDomainCost = 0.2
+	copyRegionCost = 0.3
+	copyJitter     = 0.05
+)
+
 // Ask is what a request needs of a backend server.
 type Ask struct {
 	Service *policy.Service
@@ -87,8 +94,17 @@
 	return p.lease(best, Load{Runs: 1, Tokens: a.Tokens, Pending: a.Prompt}), nil
 }
 
-// ChooseCopy claims the memory for a copy of a run beside the backend server that it runs on.
-func (p *Pool) ChooseCopy(a Ask, now time.Time) (*Lease, error) {
+// The parts of an engine's memory that may be in use together with a copy.
+const (
+	// StandingRoom leaves memory for runs that start while a copy stands by.
+	StandingRoom = 0.6
+	// MovingRoom suffices for a run that goes on at its copy at once.
+	MovingRoom = 0.95
+)
+
+// ChooseCopy claims the memory for a copy of a run beside the backend server that it runs on. At most a part of
+// the copy's backend server's memory is in use then.
+func (p *Pool) ChooseCopy(a Ask, room float64, now time.Time) (*Lease, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *entry
@@ -97,7 +113,7 @@
 		if !p.fits(e, a, now) || e.isSuspect(now) || a.Service.Engine == nil {
 			continue
 		}
-		if c, ok := p.copyCost(e, a); ok && c < lowest {
+		if c := p.copyCost(e, a); c < lowest && usedPart(e, a) <= room {
 			best, lowest = e, c
 		}
 	}
@@ -173,23 +189,25 @@
 	return c
 }
 
-// copyCost ranks the places of a copy: free memory first, then another failure domain of the same region.
-func (p *Pool) copyCost(e *entry, a Ask) (float64, bool) {
+// usedPart is the part of an engine's memory that would be in use.
+func usedPart(e *entry, a Ask) float64 {
+	return float64(e.load().Tokens+a.Tokens) / float64(a.Service.Engine.MemoryTokens)
+}
+
+// copyCost ranks the places of a copy: free memory first, then the failure domain of the run, where copying takes
+// half the time, then its region.
+func (p *Pool) copyCost(e *entry, a Ask) float64 {
 	if e.ID == a.Beside.ID {
-		return 0, false
-	}
-	used := float64(e.load().Tokens+a.Tokens) / float64(a.Service.Engine.MemoryTokens)
-	if used > 1 {
-		return 0, false
+		return math.Inf(1)
 	}
-	c := used
-	if e.Domain == a.Beside.Domain {
-		c += 0.05
+	c := usedPart(e, a) + copyJitter*p.jitter()
+	if e.Domain != a.Beside.Domain {
+		c += copyDomainCost
 	}
 	if e.Region != a.Beside.Region {
-		c += 0.25
+		c += copyRegionCost
 	}
-	return c + 0.02*p.jitter(), true
+	return c
 }
 
 // Read notes that a part of the lease's prompt has been read, which its first event shows.
@@ -200,6 +218,17 @@
 	l.pending = 0
 }
 
+// Hold notes the memory that the lease's run or copy holds by now.
+func (l *Lease) Hold(tokens int) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.entry.own.Tokens += tokens - l.load.Tokens
+	l.load.Tokens = tokens
+}
+
 // End gives the claim back.
 func (l *Lease) End() {
 	l.pool.mu.Lock()
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -31,7 +31,7 @@
 	// serversWait bounds the calls of an unchanged list of backend servers.
 	serversWait = 20 * time.Second
 	// collect gathers changes of backend servers into one call.
-	collect = 250 * time.Millisecond
+	collect = 60 * time.Millisecond
 	// keyMargin is the part of the bound on keys that a table may age.
 	keyMargin = 0.88
 	// coldMargin is the part of a cold backend server's bound that the hosts use together.
