--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -31,6 +31,10 @@
 	// growthTokens is the memory beyond what a run holds that is kept for its next output: what an engine
 	// makes in some three seconds.
 	growthTokens = 300
+	// longRunTime and shortRunTime are what a long stream and another request may take on a stopping host. Long
+	// streams are taken until the balancer has surely seen the host's readiness.
+	longRunTime  = 5 * time.Second
+	shortRunTime = 1500 * time.Millisecond
 	// writeSlack is the time after a request's limit in which its last bytes may still leave.
 	writeSlack = 300 * time.Millisecond
 )
@@ -59,6 +63,8 @@
 	Log     *slog.Logger
 
 	keyAge atomic.Int64
+	// ends is the time in Unix nanoseconds at which a stopping host cuts what is still in progress; 0 while it goes on.
+	ends   atomic.Int64
 	active sync.WaitGroup
 }
 
@@ -93,6 +99,22 @@
 // SetKeyAge sets the age of the table beyond which keys are not accepted any more; 0 means no bound.
 func (f *Front) SetKeyAge(age time.Duration) { f.keyAge.Store(int64(age)) }
 
+// StopAt makes the host refuse new requests that may still be in progress at the given time.
+func (f *Front) StopAt(end time.Time) { f.ends.Store(end.UnixNano()) }
+
+// isTooLate reports whether a stopping host ends before the request is surely answered.
+func (q *request) isTooLate() bool {
+	end := q.ends.Load()
+	if end == 0 {
+		return false
+	}
+	left := time.Unix(0, end).Sub(q.arrived)
+	if q.route.Kind == policy.Streaming && q.expectedOutput() >= longOutput {
+		return left < longRunTime
+	}
+	return left < shortRunTime
+}
+
 // ServeHTTP answers one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
@@ -151,6 +173,9 @@
 	if q.service == nil {
 		return retryable(refuse.CodeNoBackend, "the route's service is not known")
 	}
+	if q.isTooLate() {
+		return retryable(refuse.CodeDraining, "the host is about to stop")
+	}
 	q.limit = q.arrived.Add(q.allowed())
 	if err := q.readBody(r, table.Limits); err != nil {
 		return err
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -100,6 +100,7 @@
 	began := time.Now()
 	s.stopping.Store(true)
 	s.Gossip.Leave()
+	s.Front.StopAt(began.Add(time.Duration(s.Settings.Platform.Grace) - lastMoments))
 	callers.SetKeepAlivesEnabled(false)
 	s.Log.Info("host stops", "grace", time.Duration(s.Settings.Platform.Grace))
 	limited, cancel := context.WithTimeout(abort, time.Duration(s.Settings.Platform.Grace)-lastMoments)
