--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -47,6 +47,14 @@
 	taken time.Time
 }
 
+// server names the backend server that holds the copy; empty without a copy.
+func (s *standby) server() string {
+	if s == nil {
+		return ""
+	}
+	return s.claim.Server.ID
+}
+
 // used ends the claim of a copy that a run goes on from, or that its engine has given up by itself.
 func (s *standby) used() {
 	if s != nil {
@@ -92,6 +100,8 @@
 		s.Backup = backup.claim.Server.Address
 		f.standby = backup
 	}
+	q.log.Info("stream sent", "server", lease.Server.ID, "domain", lease.Server.Domain, "backup", f.standby.server(),
+		"from_copy", s.From.Name != "", "last_event", s.LastEvent, "tokens", q.Prompt, "output_hint", q.OutputHint)
 	answer, err := send.Open(ctx, lease.Server.Address, q.outgoing(s))
 	if err != nil {
 		err = q.sendFailed(ctx, lease, err)
--- a/internal/front/goon.go
+++ b/internal/front/goon.go
@@ -32,6 +32,11 @@
 		s.leave(server)
 		return
 	}
+	s.dropLeavingCopy()
+}
+
+// dropLeavingCopy forgets a copy whose backend server is about to end.
+func (s *session) dropLeavingCopy() {
 	if by := s.current.standby; by != nil && s.Pool.IsLeaving(by.claim.Server.ID) {
 		by.used()
 		s.current.standby = nil
@@ -44,8 +49,9 @@
 	if s.next != nil || s.isOpening || s.isCopying || s.moves >= maxMoves {
 		return
 	}
+	s.dropLeavingCopy()
 	by := s.current.standby
-	if by == nil || s.Pool.IsLeaving(by.claim.Server.ID) {
+	if by == nil {
 		s.copyNow()
 		return
 	}
