--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -42,7 +42,6 @@
 // The costs that order the places of copies, as parts of an engine's memory.
 const (
 	copyDomainCost = 0.2
-	copyRegionCost = 0.3
 	copyJitter     = 0.05
 )
 
@@ -56,7 +55,7 @@
 	// Prompt is the number of prompt tokens, and Tokens the memory that the run is expected to need.
 	Prompt int
 	Tokens int
-	// Beside names the backend server that a copy has to stand apart from; empty for runs.
+	// Beside is the backend server whose run is copied; nil for runs.
 	Beside *Server
 }
 
@@ -110,7 +109,9 @@
 	var best *entry
 	lowest := math.Inf(1)
 	for _, e := range p.servers {
-		if !p.fits(e, a, now) || e.isSuspect(now) || a.Service.Engine == nil {
+		// The link between regions is too narrow for an engine's memory, and a copy that waits for it holds up all
+		// others of its engine.
+		if !p.fits(e, a, now) || e.isSuspect(now) || e.Region != a.Beside.Region || e.ID == a.Beside.ID {
 			continue
 		}
 		if c := p.copyCost(e, a); c < lowest && usedPart(e, a) <= room {
@@ -195,18 +196,12 @@
 }
 
 // copyCost ranks the places of a copy: free memory first, then the failure domain of the run, where copying takes
-// half the time, then its region.
+// half the time.
 func (p *Pool) copyCost(e *entry, a Ask) float64 {
-	if e.ID == a.Beside.ID {
-		return math.Inf(1)
-	}
 	c := usedPart(e, a) + copyJitter*p.jitter()
 	if e.Domain != a.Beside.Domain {
 		c += copyDomainCost
 	}
-	if e.Region != a.Beside.Region {
-		c += copyRegionCost
-	}
 	return c
 }
 
