feat: the retry budget holds over a sliding window

Cause: the token bucket refilled with arrivals only, so hosts with several leaving engines had no budget left to go on elsewhere ('stream stays'), while the deployment's bound renews its extra part with each window.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -43,24 +43,6 @@
 	return true
 }
 
-// AllowAbove takes one retry unless less than a part of the whole bucket would remain.
-func (r *Retry) AllowAbove(part float64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.spent+1 > r.burst()*(1-part) {
-		return false
-	}
-	r.spent++
-	return true
-}
-
-// setBurst changes the size of the bucket.
-func (r *Retry) setBurst(n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.Burst = n
-}
-
 func (r *Retry) ratio() float64 {
 	if r.Ratio == 0 {
 		return DefaultRatio
--- /dev/null
+++ b/internal/budget/shared_test.go
@@ -0,0 +1,63 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSharedWindow(t *testing.T) {
+	now := 1000 * time.Second
+	s := &Shared{Ratio: 0.2, Extra: 54, Window: 10 * time.Second, Hosts: func() int { return 7 }, Now: func() time.Duration { return now }}
+	spend := func(urgent bool) int {
+		n := 0
+		for s.Allow("model", urgent) {
+			n++
+		}
+		return n
+	}
+	for range 20 {
+		s.Arrived("model")
+	}
+	plain := spend(false)
+	assert.Equal(t, plain, 5, "0.6 of 0.85 of 20*0.2 + 54/7")
+	assert.Equal(t, spend(true), 4, "the part kept for urgent repeats")
+	now += 9 * time.Second
+	assert.Equal(t, spend(true), 0, "the window still holds them")
+	now += 2 * time.Second
+	assert.Equal(t, spend(true), 6, "the window has passed, its arrivals too")
+}
+
+func TestSharedSumStaysBelowBound(t *testing.T) {
+	const hosts, ratio, extra = 7, 0.2, 54.0
+	now := 1000 * time.Second
+	window := 10 * time.Second
+	var all []*Shared
+	for range hosts {
+		all = append(all, &Shared{Ratio: ratio, Extra: extra, Window: window, Hosts: func() int { return hosts }, Now: func() time.Duration { return now }})
+	}
+	var arrivals, repeats []time.Duration
+	for step := range 400 {
+		now += 100 * time.Millisecond
+		if step%2 == 0 {
+			all[step%hosts].Arrived("model")
+			arrivals = append(arrivals, now)
+		}
+		for _, s := range all {
+			if s.Allow("model", true) {
+				repeats = append(repeats, now)
+			}
+		}
+		within := func(times []time.Duration) float64 {
+			n := 0
+			for _, at := range times {
+				if now-at < window {
+					n++
+				}
+			}
+			return float64(n)
+		}
+		assert.Assert(t, within(repeats) <= ratio*within(arrivals)+extra)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -63,8 +63,8 @@
 	Log     *slog.Logger
 
 	keyAge atomic.Int64
-	// ends is the time in Unix nanoseconds at which a stopping host cuts what is still in progress; 0 while it goes on.
-	ends   atomic.Int64
+	// ends is the time at which a stopping host cuts what is still in progress; nil while it goes on.
+	ends   atomic.Pointer[time.Time]
 	active sync.WaitGroup
 }
 
@@ -100,15 +100,15 @@
 func (f *Front) SetKeyAge(age time.Duration) { f.keyAge.Store(int64(age)) }
 
 // StopAt makes the host refuse new requests that may still be in progress at the given time.
-func (f *Front) StopAt(end time.Time) { f.ends.Store(end.UnixNano()) }
+func (f *Front) StopAt(end time.Time) { f.ends.Store(&end) }
 
 // isTooLate reports whether a stopping host ends before the request is surely answered.
 func (q *request) isTooLate() bool {
 	end := q.ends.Load()
-	if end == 0 {
+	if end == nil {
 		return false
 	}
-	left := time.Unix(0, end).Sub(q.arrived)
+	left := end.Sub(q.arrived)
 	if q.route.Kind == policy.Streaming && q.expectedOutput() >= longOutput {
 		return left < longRunTime
 	}
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/metric"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 	"github.com/tarragonspur/tarragonspur/internal/watch"
 	"github.com/tarragonspur/tarragonspur/pkg/config"
 	"github.com/tarragonspur/tarragonspur/platform"
@@ -95,7 +96,7 @@
 }
 
 func newBudget(s config.Settings, g *gossip.Gossip) *budget.Shared {
-	return &budget.Shared{Ratio: s.Platform.RetryRatio, Extra: s.Platform.RetryExtra, Hosts: g.Hosts}
+	return &budget.Shared{Ratio: s.Platform.RetryRatio, Extra: s.Platform.RetryExtra, Window: time.Duration(s.Platform.RetryWindow), Hosts: g.Hosts, Now: ticks.Now}
 }
 
 func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, t *crash.Table, m *metric.Front, log *slog.Logger) *front.Front {
--- a/pkg/config/platform.go
+++ b/pkg/config/platform.go
@@ -11,9 +11,11 @@
 	Regions map[string]string `json:"regions"`
 	// KeyAge is the age of the table beyond which keys are refused, since they may have been taken away; 0 means no bound.
 	KeyAge Duration `json:"key_age"`
-	// RetryRatio and RetryExtra bound the repeated sends to a service by all hosts together, per window of seconds.
-	RetryRatio float64 `json:"retry_ratio"`
-	RetryExtra float64 `json:"retry_extra"`
+	// RetryRatio and RetryExtra bound the repeated sends to a service by all hosts together in any span of RetryWindow:
+	// RetryRatio for each request, and RetryExtra besides.
+	RetryRatio  float64  `json:"retry_ratio"`
+	RetryExtra  float64  `json:"retry_extra"`
+	RetryWindow Duration `json:"retry_window"`
 	// Grace is the time from the signal to stop to the process's end.
 	Grace Duration `json:"grace"`
 	// MemoryMB is the memory that the process may use.
@@ -26,6 +28,7 @@
 	c.require(p.KeyAge >= 0, "a duration of zero or more", "platform.key_age")
 	c.require(p.RetryRatio >= 0, "zero or more", "platform.retry_ratio")
 	c.require(p.RetryExtra >= 0, "zero or more", "platform.retry_extra")
+	c.require(p.RetryWindow > 0, "a positive duration such as \"10s\"", "platform.retry_window")
 	c.require(p.Grace > 0, "a positive duration such as \"8s\"", "platform.grace")
 	c.require(p.MemoryMB > 0, "a positive number of megabytes", "platform.memory_mb")
 }
