feat: one host of each region reads the store for the others

The host with the largest processor share that reaches the store reads; the others ask it over gRPC and read for themselves when it fails or its confirmation is too old. Digests go to hosts of another region once a second only.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -28,6 +28,8 @@
 	// forgetAfter is when a silent host no longer counts for divided budgets. A host that is cut off
 	// keeps spending its part meanwhile.
 	forgetAfter = 60 * time.Second
+	// hostsPerPeriod is the number of hosts that are told within one period.
+	hostsPerPeriod = 16
 	// maxDatagram bounds a digest; larger ones would be fragmented.
 	maxDatagram = 8 << 10
 	// listPeriod is how often the registered hosts are asked for while none has been heard.
@@ -50,6 +52,11 @@
 	Leaving  bool         `cbor:"4,keyasint,omitempty"`
 	Loads    []ServerLoad `cbor:"5,keyasint,omitempty"`
 	Crashes  []crash.Mark `cbor:"6,keyasint,omitempty"`
+	Region   string       `cbor:"7,keyasint,omitempty"`
+	// Cores is the host's processor share.
+	Cores float64 `cbor:"8,keyasint,omitempty"`
+	// Reading says that the host reads the store and can read for others.
+	Reading bool `cbor:"9,keyasint,omitempty"`
 }
 
 // ServerLoad is a host's load on one backend server.
@@ -62,12 +69,17 @@
 
 // Gossip exchanges digests with the other hosts.
 type Gossip struct {
-	Self     string
-	Address  netip.AddrPort
+	Self    string
+	Region  string
+	Address netip.AddrPort
+	// Cores is the host's processor share; hosts with more of it read the store for others.
+	Cores    float64
 	Registry Registry
-	Pool     *pool.Pool
-	Crashes  *crash.Table
-	Log      *slog.Logger
+	// IsReading tells whether this host reads the store and can read for others.
+	IsReading func() bool
+	Pool      *pool.Pool
+	Crashes   *crash.Table
+	Log       *slog.Logger
 
 	mu      sync.Mutex
 	peers   map[string]*peer
@@ -85,6 +97,13 @@
 	// known is when the host was first heard of.
 	known  time.Time
 	silent bool
+	// told is when the host was last told of this one's state.
+	told         time.Time
+	toldSequence uint64
+	region       string
+	cores        float64
+	reading      bool
+	leaving      bool
 }
 
 // Name names the controller in logs.
@@ -219,7 +238,7 @@
 func (g *Gossip) send(ctx context.Context, socket *net.UDPConn) {
 	incarnation := time.Now().UnixMilli()
 	sequence := uint64(0)
-	last, lastSent := "", time.Time{}
+	last := ""
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
@@ -234,45 +253,68 @@
 			g.Log.Error("digest not encoded", "error", err)
 			continue
 		}
-		if string(text) != last || time.Since(lastSent) > heartbeat {
-			last, lastSent = string(text), time.Now()
+		if string(text) != last {
+			last = string(text)
 			sequence++
-			d.Incarnation, d.Sequence = incarnation, sequence
-			g.tell(socket, d)
 		}
+		d.Incarnation, d.Sequence = incarnation, sequence
+		g.tell(socket, d)
 		g.expire()
 	}
 }
 
 func (g *Gossip) digest() Digest {
 	g.mu.Lock()
-	d := Digest{Host: g.Self, Leaving: g.leaving}
+	d := Digest{Host: g.Self, Region: g.Region, Cores: g.Cores, Leaving: g.leaving}
 	g.mu.Unlock()
+	d.Reading = g.IsReading()
 	d.Loads = loadsOf(g.Pool.Own())
 	d.Crashes = g.Crashes.Own()
 	return d
 }
 
 func (g *Gossip) tell(socket *net.UDPConn, d Digest) {
+	due := g.due(d.Sequence)
+	if len(due) == 0 {
+		return
+	}
 	text, err := cbor.Marshal(d)
 	if err != nil || len(text) > maxDatagram {
 		g.Log.Error("digest not sent", "bytes", len(text), "error", err)
 		return
 	}
-	for _, address := range g.addresses() {
+	for _, address := range due {
 		// A datagram may be lost in any case; the next one makes up for it.
 		_, _ = socket.WriteToUDPAddrPort(text, address)
 	}
 }
 
-func (g *Gossip) addresses() []netip.AddrPort {
+// due returns the hosts that are to be told now. Hosts of the same region place requests on the same backend servers
+// and are told of changes at once; the more hosts there are, the fewer changes each tells.
+func (g *Gossip) due(sequence uint64) []netip.AddrPort {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	pause := period * time.Duration(1+len(g.peers)/hostsPerPeriod)
 	var all []netip.AddrPort
 	for _, p := range g.peers {
-		if time.Since(p.heard) < forgetAfter || time.Since(p.known) < forgetAfter {
-			all = append(all, p.address)
+		if now.Sub(p.heard) > forgetAfter && now.Sub(p.known) > forgetAfter {
+			continue
+		}
+		least := pause
+		if p.region != g.Region && p.region != "" {
+			least = max(heartbeat, pause)
+		}
+		hasNews := p.toldSequence != sequence
+		if !hasNews {
+			least = max(heartbeat, least)
+		}
+		// A quarter of a period is the play of the ticker.
+		if now.Sub(p.told) < least-period/4 {
+			continue
 		}
+		p.told, p.toldSequence = now, sequence
+		all = append(all, p.address)
 	}
 	return all
 }
@@ -301,7 +343,7 @@
 func (g *Gossip) take(d Digest, from netip.AddrPort) {
 	g.mu.Lock()
 	p := g.meet(d.Host, from)
-	if d.Incarnation < p.incarnation || d.Incarnation == p.incarnation && d.Sequence <= p.sequence {
+	if d.Incarnation < p.incarnation || d.Incarnation == p.incarnation && d.Sequence < p.sequence {
 		g.mu.Unlock()
 		return
 	}
@@ -309,6 +351,7 @@
 		g.Log.Info("host heard again", "host", d.Host, "silent_for", time.Since(p.heard))
 	}
 	p.incarnation, p.sequence, p.heard, p.silent = d.Incarnation, d.Sequence, time.Now(), false
+	p.region, p.cores, p.reading, p.leaving = d.Region, d.Cores, d.Reading, d.Leaving
 	g.mu.Unlock()
 	loads := make(map[string]pool.Load, len(d.Loads))
 	for _, l := range d.Loads {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -47,6 +47,9 @@
 	e := p.servers[s.ID]
 	if e == nil || e.Born != s.Born && s.Born != 0 {
 		e = &entry{}
+		for _, loads := range p.remote {
+			e.remote.add(loads[s.ID])
+		}
 		p.servers[s.ID] = e
 	}
 	e.Server, e.seen, e.lapsed = s, now, time.Time{}
@@ -111,17 +114,21 @@
 	if p.remote == nil {
 		p.remote = make(map[string]map[string]Load)
 	}
+	for id, l := range p.remote[host] {
+		if e := p.servers[id]; e != nil {
+			e.remote.add(Load{Runs: -l.Runs, Tokens: -l.Tokens, Pending: -l.Pending})
+		}
+	}
+	for id, l := range loads {
+		if e := p.servers[id]; e != nil {
+			e.remote.add(l)
+		}
+	}
 	if len(loads) == 0 {
 		delete(p.remote, host)
 	} else {
 		p.remote[host] = loads
 	}
-	for id, e := range p.servers {
-		e.remote = Load{}
-		for _, l := range p.remote {
-			e.remote.add(l[id])
-		}
-	}
 }
 
 // Own returns what this host has sent to the backend servers and what is not done yet.
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/httpd"
 	"github.com/tarragonspur/tarragonspur/internal/logs"
 	"github.com/tarragonspur/tarragonspur/internal/metric"
+	"github.com/tarragonspur/tarragonspur/internal/mirror"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
@@ -28,9 +29,9 @@
 
 const (
 	// tableWait bounds the age of the newest confirmation of the table, and so how soon keys are refused after the store is lost.
-	tableWait = 1500 * time.Millisecond
-	// serversWait bounds the calls of an unchanged list of backend servers.
-	serversWait = 20 * time.Second
+	tableWait = 800 * time.Millisecond
+	// serversWait bounds the age at which a reading host hands on backend servers and failure domains.
+	serversWait = 2 * time.Second
 	// collect gathers changes of backend servers into one call.
 	collect = 60 * time.Millisecond
 	// keyMargin is the part of the bound on keys that a table may age.
@@ -42,6 +43,8 @@
 // constructors is the visible list of all that a host is made of.
 var constructors = [...]any{
 	newStore,
+	newMirror,
+	newMirrorServer,
 	newHolder,
 	newPool,
 	newHealth,
@@ -81,6 +84,16 @@
 	return platform.NewStore(s.Store, log)
 }
 
+func newMirror(st *platform.Store, g *gossip.Gossip, log *slog.Logger) *mirror.Mirror {
+	m := &mirror.Mirror{Store: st, Readers: g, Link: &mirror.Link{}, Log: log}
+	g.IsReading = func() bool { return m.IsReading(platform.KindTables) }
+	return m
+}
+
+func newMirrorServer(s config.Settings, m *mirror.Mirror) *mirror.Server {
+	return &mirror.Server{Mirror: m, Address: s.Peers}
+}
+
 func newHolder() *policy.Holder { return &policy.Holder{} }
 
 func newPool(s config.Settings) *pool.Pool { return &pool.Pool{Domain: s.Domain, Region: s.Region} }
@@ -90,7 +103,10 @@
 func newCrashes(log *slog.Logger) *crash.Table { return &crash.Table{Log: log} }
 
 func newGossip(s config.Settings, st *platform.Store, p *pool.Pool, t *crash.Table, log *slog.Logger) *gossip.Gossip {
-	g := &gossip.Gossip{Self: s.Host, Address: s.Peers, Registry: platform.Hosts{Store: st}, Pool: p, Crashes: t, Log: log}
+	g := &gossip.Gossip{
+		Self: s.Host, Region: s.Region, Address: s.Peers, Cores: s.Platform.Cores,
+		Registry: platform.Hosts{Store: st}, Pool: p, Crashes: t, Log: log,
+	}
 	p.ColdShare = func(server string, perSecond float64) float64 { return g.ColdShare(server, coldMargin*perSecond) }
 	return g
 }
@@ -114,30 +130,30 @@
 	return time.Duration(keyMargin * float64(s.Platform.KeyAge))
 }
 
-func newTables(st *platform.Store, h *policy.Holder, health *watch.Health, log *slog.Logger) *watch.Follower[*policy.Table] {
+func newTables(m *mirror.Mirror, h *policy.Holder, health *watch.Health, log *slog.Logger) *watch.Follower[*policy.Table] {
 	return &watch.Follower[*policy.Table]{
-		Kind: "table", Source: platform.Tables{Store: st}, Sink: &watch.Tables{Holder: h, Log: log},
+		Kind: "table", Source: platform.Tables{Store: m, Log: log}, Sink: &watch.Tables{Holder: h, Log: log},
 		Wait: tableWait, Pause: collect / 2, Health: health, Log: log,
 	}
 }
 
-func newServers(s config.Settings, st *platform.Store, p *pool.Pool, health *watch.Health, log *slog.Logger) *watch.Follower[pool.Server] {
+func newServers(s config.Settings, m *mirror.Mirror, p *pool.Pool, health *watch.Health, log *slog.Logger) *watch.Follower[pool.Server] {
 	return &watch.Follower[pool.Server]{
-		Kind: "backend servers", Source: platform.Servers{Store: st, Regions: s.Platform.Regions},
+		Kind: "backend servers", Source: platform.Servers{Store: m, Log: log, Regions: s.Platform.Regions},
 		Sink: &watch.Servers{Pool: p, Health: health, Log: log}, Wait: serversWait, Pause: collect, Health: health, Log: log,
 	}
 }
 
-func newEvacuations(st *platform.Store, p *pool.Pool, health *watch.Health, log *slog.Logger) *watch.Follower[string] {
+func newEvacuations(m *mirror.Mirror, p *pool.Pool, health *watch.Health, log *slog.Logger) *watch.Follower[string] {
 	return &watch.Follower[string]{
-		Kind: "failure domains", Source: platform.Evacuations{Store: st}, Sink: &watch.Evacuations{Pool: p, Log: log},
+		Kind: "failure domains", Source: platform.Evacuations{Store: m}, Sink: &watch.Evacuations{Pool: p, Log: log},
 		Wait: serversWait, Pause: collect, Health: health, Log: log,
 	}
 }
 
 // newControllers is the visible list of the host's activities.
-func newControllers(t *watch.Follower[*policy.Table], s *watch.Follower[pool.Server], e *watch.Follower[string], g *gossip.Gossip) []Controller {
-	return []Controller{t, s, e, g}
+func newControllers(t *watch.Follower[*policy.Table], s *watch.Follower[pool.Server], e *watch.Follower[string], g *gossip.Gossip, m *mirror.Server) []Controller {
+	return []Controller{t, s, e, g, m}
 }
 
 // listeners are the open listeners of a host.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -11,12 +11,10 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/mirror"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
-// ErrHistoryGone says that the store no longer knows the changes since a revision, so that a list is due.
-var ErrHistoryGone = errors.New("the store has dropped this history")
-
 const (
 	// retryFirst and retryMax bound the pause after a failed call; the store's rate is shared by all hosts.
 	retryFirst = 100 * time.Millisecond
@@ -33,6 +31,8 @@
 	Changed  []T
 	// Removed are the names of objects that are gone; always empty in a list.
 	Removed []string
+	// Age is how long before it was returned the store surely confirmed the batch.
+	Age time.Duration
 }
 
 // Source reads one kind of object.
@@ -40,7 +40,7 @@
 	// List returns all objects.
 	List(ctx context.Context) (Batch[T], error)
 	// Changes waits for changes after a revision; a batch without any says that the wait is over.
-	// The error is ErrHistoryGone if the store has dropped them.
+	// The error is mirror.ErrHistoryGone if they are not known any more.
 	Changes(ctx context.Context, since int64, wait time.Duration) (Batch[T], error)
 }
 
@@ -76,12 +76,12 @@
 	revision := int64(0)
 	for ctx.Err() == nil {
 		next, changed, err := f.step(ctx, revision)
-		f.Health.Note(err == nil || errors.Is(err, ErrHistoryGone))
+		f.Health.Note(err == nil || errors.Is(err, mirror.ErrHistoryGone))
 		pause := time.Duration(0)
 		switch {
 		case ctx.Err() != nil:
 			return nil
-		case errors.Is(err, ErrHistoryGone):
+		case errors.Is(err, mirror.ErrHistoryGone):
 			f.Log.Info("store history gone", "kind", f.Kind, "revision", revision)
 			next = 0
 		case err != nil:
@@ -109,7 +109,7 @@
 		if err != nil {
 			return 0, false, err
 		}
-		f.Sink.Replace(b, began)
+		f.Sink.Replace(b, began-b.Age)
 		return b.Revision, true, nil
 	}
 	waiting, cancel := context.WithTimeout(ctx, f.Wait+answerSlack)
@@ -118,7 +118,7 @@
 	if err != nil {
 		return revision, false, err
 	}
-	f.Sink.Apply(b, began)
+	f.Sink.Apply(b, began-b.Age)
 	return max(revision, b.Revision), len(b.Changed)+len(b.Removed) > 0, nil
 }
 
--- a/pkg/config/platform.go
+++ b/pkg/config/platform.go
@@ -18,6 +18,8 @@
 	RetryWindow Duration `json:"retry_window"`
 	// Grace is the time from the signal to stop to the process's end.
 	Grace Duration `json:"grace"`
+	// Cores is the processor share of the host; hosts with more of it read the store for the others.
+	Cores float64 `json:"cores"`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int64 `json:"memory_mb"`
 }
@@ -30,5 +32,6 @@
 	c.require(p.RetryExtra >= 0, "zero or more", "platform.retry_extra")
 	c.require(p.RetryWindow > 0, "a positive duration such as \"10s\"", "platform.retry_window")
 	c.require(p.Grace > 0, "a positive duration such as \"8s\"", "platform.grace")
+	c.require(p.Cores > 0, "a positive number of cores", "platform.cores")
 	c.require(p.MemoryMB > 0, "a positive number of megabytes", "platform.memory_mb")
 }
