--- a/internal/front/fail.go
+++ b/internal/front/fail.go
@@ -58,6 +58,8 @@
 		outcome = "caller gone"
 	case errors.Is(err, errCut):
 		outcome = "cut"
+		// Events that arrived whole are the caller's, also where the stream goes no further.
+		_ = http.NewResponseController(q.w).Flush()
 	case isRefusal:
 		status = refused.Code.Status()
 		if refused.Run != refuse.NotRun {
--- /dev/null
+++ b/internal/front/rig_test.go
@@ -0,0 +1,207 @@
+package front_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+	"github.com/tarragonspur/tarragonspur/internal/front"
+	"github.com/tarragonspur/tarragonspur/internal/policy"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
+	"github.com/tarragonspur/tarragonspur/platform"
+)
+
+// rig is a host's way in with backend servers behind it.
+type rig struct {
+	*front.Front
+
+	server  *httptest.Server
+	engines []*plat.Engine
+	plant   *plat.Plant
+	guard   *guard
+	refuse  bool
+}
+
+// guard is a front.Guard that bars what the test says.
+type guard struct {
+	mu       sync.Mutex
+	suspects int
+	barred   bool
+}
+
+func (g *guard) IsQuarantined(uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.barred
+}
+
+func (g *guard) Suspect(context.Context, uint64, string, netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.suspects++
+}
+
+// Arrived and Allow make the rig a front.Budget.
+func (r *rig) Arrived(string) {}
+
+func (r *rig) Allow(string, bool) bool { return !r.refuse }
+
+type meter struct{}
+
+func (meter) Ended(string, string, int, time.Duration) {}
+func (meter) FirstEvent(time.Duration)                 {}
+func (meter) Resumed(string)                           {}
+
+// The routes of the rig's table.
+func table() *policy.Table {
+	t := &policy.Table{
+		Version: 1,
+		Services: map[string]*policy.Service{
+			"mill": {Name: "mill"},
+			"model": {Name: "model", Engine: &policy.Engine{
+				Slots: 8, MemoryTokens: 30000, Moves: true, Backups: true, EventTokens: 4, CopyTTL: 5 * time.Second,
+			}},
+		},
+		Keys: map[string]*policy.Workspace{
+			"k1": {Name: "w1"},
+			"k2": {Name: "w2", Regions: []string{"west"}},
+		},
+		Limits: policy.Limits{BodyBytes: 1 << 10},
+	}
+	to := func(service string) []policy.Share { return []policy.Share{{Service: service, Weight: 1}} }
+	t.SetRoutes([]*policy.Route{
+		{Name: "book", Host: "h.example", Prefix: "/book/", Services: to("mill"), Timeout: 600 * time.Millisecond, Attempts: 1},
+		{Name: "read", Host: "h.example", Prefix: "/read/", Kind: policy.Idempotent, Services: to("mill"), Timeout: 600 * time.Millisecond, Attempts: 2},
+		{Name: "open", Host: "h.example", Prefix: "/open/", Kind: policy.Idempotent, Services: to("mill"), Attempts: 2, Public: true},
+		{Name: "west", Host: "h.example", Prefix: "/west/", Kind: policy.Idempotent, Services: to("mill"), Attempts: 2, Regions: []string{"west"}},
+		{Name: "report", Host: "h.example", Prefix: "/report/", Kind: policy.Streaming, Services: to("model"), Timeout: 3 * time.Second, Attempts: 1},
+		{Name: "note", Host: "h.example", Prefix: "/note/", Kind: policy.Streaming, Services: to("model"), Timeout: 3 * time.Second, Attempts: 2, Resumable: true},
+	})
+	return t
+}
+
+// newRig starts a way in with a number of backend servers for both services.
+func newRig(t *testing.T, engines int) *rig {
+	t.Helper()
+	r := &rig{plant: &plat.Plant{}, guard: &guard{}}
+	holder := &policy.Holder{}
+	holder.Offer(table())
+	holder.Confirm(ticks.Now())
+	r.Front = &front.Front{
+		Decisions: front.Decisions{Tables: holder, Pool: &pool.Pool{Domain: "d1", Region: "east", Jitter: func() float64 { return 0 }}},
+		Dialect:   platform.Dialect{}, Copies: platform.Engines{}, Budget: r, Guard: r.guard, Meter: meter{},
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+	for i := range engines {
+		e := &plat.Engine{ID: string(rune('a' + i)), Events: 20, Pause: 10 * time.Millisecond, Plant: r.plant}
+		e.Start()
+		t.Cleanup(e.Crash)
+		r.engines = append(r.engines, e)
+		r.put(i, false)
+	}
+	r.server = httptest.NewServer(r.Front)
+	t.Cleanup(func() {
+		r.server.Close()
+		r.Wait(context.Background())
+	})
+	return r
+}
+
+// put registers a backend server for both services.
+func (r *rig) put(i int, draining bool) {
+	e := r.engines[i]
+	for _, service := range []string{"mill", "model"} {
+		s := pool.Server{ID: e.ID, Service: service, Address: e.Address(), Domain: "d1", Region: "east", Slots: 8, Draining: draining}
+		if service == "mill" && len(r.engines) > 1 && i%2 == 0 || service == "model" && i%2 == 1 {
+			continue
+		}
+		r.Pool.Put(s, time.Now())
+	}
+}
+
+// ask is one request of a caller.
+type ask struct {
+	method, path, key, body string
+	headers                 map[string]string
+}
+
+const attempt = "a1b2"
+
+func (r *rig) do(t *testing.T, a ask) *http.Response {
+	t.Helper()
+	resp, err := r.try(t.Context(), a)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+func (r *rig) try(ctx context.Context, a ask) (*http.Response, error) {
+	if a.method == "" {
+		a.method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(ctx, a.method, r.server.URL+a.path, strings.NewReader(a.body))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "h.example"
+	req.Header.Set("Attempt-Id", attempt)
+	req.Header.Set("Deadline-Ms", "2000")
+	if a.key != "" {
+		req.Header.Set("Key", a.key)
+	}
+	for name, value := range a.headers {
+		req.Header.Set(name, value)
+	}
+	return http.DefaultTransport.RoundTrip(req)
+}
+
+// text reads a whole answer; a broken one is an error.
+func text(resp *http.Response) (string, error) {
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+// story is the whole stream of the rig's engines.
+func story(events int) string {
+	var b strings.Builder
+	for n := range events {
+		b.WriteString(plat.Event(attempt, n))
+	}
+	return b.String()
+}
+
+// eventually polls a condition.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// reach returns all requests that reached any engine, its own calls aside.
+func (r *rig) reach() []plat.Request {
+	var all []plat.Request
+	for _, e := range r.engines {
+		for _, q := range e.Requests() {
+			if !strings.HasPrefix(q.URL.Path, "/tarragonspur/") {
+				all = append(all, q)
+			}
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/front/stream_test.go
@@ -0,0 +1,213 @@
+package front_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+)
+
+func streamAsk(path string) ask {
+	return ask{method: http.MethodPost, path: path, key: "k1", body: "prompt", headers: map[string]string{"Token-Usage": "500,4000"}}
+}
+
+func TestStreamIsWhole(t *testing.T) {
+	r := newRig(t, 1)
+	resp := r.do(t, streamAsk("/report/x"))
+	body, err := text(resp)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Header.Get("Content-Type"), "text/event-stream")
+	assert.Equal(t, resp.Header.Get("Response-Signature"), "s1")
+	assert.Equal(t, body, story(20))
+}
+
+func TestEventsAreForwardedAsTheyArrive(t *testing.T) {
+	r := newRig(t, 1)
+	r.engines[0].Pause = 100 * time.Millisecond
+	began := time.Now()
+	resp := r.do(t, streamAsk("/report/x"))
+	line, err := bufio.NewReader(resp.Body).ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, line, "id: 0\n")
+	assert.Assert(t, time.Since(began) < time.Second, "the whole stream takes 2 s")
+}
+
+// runsOn returns the engine that works on the rig's stream.
+func (r *rig) runsOn(t *testing.T) *plat.Engine {
+	t.Helper()
+	var found *plat.Engine
+	eventually(t, "the stream to run", func() bool {
+		for _, e := range r.engines {
+			if e.Working() > 0 && e.Runs() > 0 {
+				found = e
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+func (r *rig) index(e *plat.Engine) int {
+	for i, one := range r.engines {
+		if one == e {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestStreamGoesOn(t *testing.T) {
+	tests := []struct {
+		name, path string
+		// trouble strikes the engine that runs the stream.
+		trouble func(r *rig, e *plat.Engine)
+		// hasCopies tells whether copies of the run exist at the time.
+		hasCopies bool
+		whole     bool
+	}{
+		{"at its copy after a crash", "/report/x", func(_ *rig, e *plat.Engine) { e.Crash() }, true, true},
+		{"not without a copy", "/report/x", func(_ *rig, e *plat.Engine) { e.Crash() }, false, false},
+		{"anywhere where the route is resumable", "/note/x", func(_ *rig, e *plat.Engine) { e.Crash() }, false, true},
+		{"before its engine leaves", "/report/x", func(r *rig, e *plat.Engine) { r.put(r.index(e), true) }, true, true},
+		{"at a copy on demand before its engine leaves", "/report/x", func(r *rig, e *plat.Engine) {
+			r.put(r.index(e), true)
+			time.AfterFunc(time.Second, e.Crash)
+		}, false, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 5)
+			for _, e := range r.engines {
+				e.Events, e.Pause = 60, 20*time.Millisecond
+			}
+			if !tc.hasCopies {
+				service := table().Services["model"]
+				service.Engine.Backups = false
+				next := table()
+				next.Version, next.Services["model"] = 2, service
+				r.Tables.Offer(next)
+			}
+			done := make(chan struct{})
+			var body string
+			var err error
+			go func() {
+				defer close(done)
+				resp, failure := r.try(t.Context(), streamAsk(tc.path))
+				if failure != nil {
+					err = failure
+					return
+				}
+				defer func() { _ = resp.Body.Close() }()
+				body, err = text(resp)
+			}()
+			first := r.runsOn(t)
+			time.Sleep(200 * time.Millisecond)
+			tc.trouble(r, first)
+			<-done
+			if !tc.whole {
+				assert.Assert(t, err != nil, "a cut stream must not look complete")
+				assert.Assert(t, strings.HasPrefix(story(60), body))
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, body, story(60))
+			assert.Assert(t, len(r.reach()) >= 2)
+			if strings.HasPrefix(tc.path, "/report") {
+				for _, q := range r.reach()[1:] {
+					if q.Header.Get("Kv-From") == "" {
+						assert.Equal(t, q.Header.Get("Last-Event-Id"), "", "only the first send may start a run")
+					}
+				}
+			}
+		})
+	}
+}
+
+func TestStreamFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		parts []string
+		// ends tells whether the engine ends the stream properly.
+		ends bool
+		want string
+	}{
+		{"event cut in the middle", []string{plat.Event(attempt, 0), "id: 1\nda"}, false, plat.Event(attempt, 0)},
+		{"proper end in the middle of an event", []string{plat.Event(attempt, 0), "id: 1\nda"}, true, plat.Event(attempt, 0)},
+		{"missing event", []string{plat.Event(attempt, 0), plat.Event(attempt, 2)}, true, plat.Event(attempt, 0)},
+		{"event without a number", []string{plat.Event(attempt, 0), "id: x\ndata: y\n\n"}, true, plat.Event(attempt, 0)},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 1)
+			r.engines[0].Script = func(conn net.Conn, q *plat.Request) bool {
+				plat.Head(conn, q)
+				for _, part := range tc.parts {
+					_ = plat.Chunk(conn, part)
+				}
+				if tc.ends {
+					_ = plat.Chunk(conn, "")
+				}
+				return true
+			}
+			body, err := text(r.do(t, streamAsk("/report/x")))
+			assert.Assert(t, err != nil, "the stream is not whole")
+			assert.Equal(t, body, tc.want)
+		})
+	}
+}
+
+func TestRepeatedEventIsForwardedOnce(t *testing.T) {
+	r := newRig(t, 1)
+	r.engines[0].Script = func(conn net.Conn, q *plat.Request) bool {
+		plat.Head(conn, q)
+		for _, n := range []int{0, 1, 1, 0, 2} {
+			_ = plat.Chunk(conn, plat.Event(attempt, n))
+		}
+		_ = plat.Chunk(conn, "")
+		return true
+	}
+	body, err := text(r.do(t, streamAsk("/report/x")))
+	assert.NilError(t, err)
+	assert.Equal(t, body, story(3))
+}
+
+func TestStreamBeforeItsFirstEvent(t *testing.T) {
+	tests := []struct {
+		name, path string
+		script     plat.Script
+		status     int
+	}{
+		{"not run, so another engine takes it", "/report/x", reply(false, http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n", nil), http.StatusOK},
+		{"may have run, so it is not repeated", "/report/x", func(net.Conn, *plat.Request) bool { return true }, http.StatusBadGateway},
+		{"may be resumed, so it is repeated", "/note/x", func(net.Conn, *plat.Request) bool { return true }, http.StatusOK},
+		{"failed by its engine", "/report/x", reply(false, http.StatusInternalServerError, "boom", plat.Signature, nil), http.StatusInternalServerError},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 3)
+			var used atomic.Int32
+			for _, i := range []int{0, 2} {
+				r.engines[i].Script = func(conn net.Conn, q *plat.Request) bool {
+					if used.Add(1) > 1 {
+						return false
+					}
+					return tc.script(conn, q)
+				}
+			}
+			resp := r.do(t, streamAsk(tc.path))
+			assert.Equal(t, resp.StatusCode, tc.status)
+			body, err := text(resp)
+			assert.NilError(t, err)
+			if tc.status == http.StatusOK {
+				assert.Equal(t, body, story(20))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/front/unary_test.go
@@ -0,0 +1,185 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+)
+
+// reply returns a script that answers with a status, a body and headers.
+func reply(ran bool, status int, body, headers string, e **plat.Engine) plat.Script {
+	return func(conn net.Conn, r *plat.Request) bool {
+		if ran {
+			(*e).MarkRun(r)
+		}
+		plat.Reply(conn, r, status, body, headers)
+		return true
+	}
+}
+
+func TestAnswersOfBackendServers(t *testing.T) {
+	type want struct {
+		status int
+		body   string
+		sends  int
+	}
+	signed := plat.Signature
+	raw := func(text string) plat.Script {
+		return func(conn net.Conn, _ *plat.Request) bool {
+			_, _ = fmt.Fprint(conn, text)
+			return true
+		}
+	}
+	tests := []struct {
+		name   string
+		script plat.Script
+		// book is the outcome of a request that runs once at most, read that of one that may be repeated and
+		// finds a healthy backend server at its second try.
+		book, read want
+	}{
+		{
+			"refused as not run", reply(false, http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n", nil),
+			want{http.StatusOK, "answer to " + attempt, 2}, want{http.StatusOK, "answer to " + attempt, 2},
+		},
+		{
+			"another instance has the address", reply(false, http.StatusMisdirectedRequest, "", "", nil),
+			want{http.StatusOK, "answer to " + attempt, 2}, want{http.StatusOK, "answer to " + attempt, 2},
+		},
+		{
+			"failure of its own", reply(false, http.StatusInternalServerError, "boom", signed, nil),
+			want{http.StatusInternalServerError, "boom", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+		},
+		{
+			"503 that does not say not run", reply(false, http.StatusServiceUnavailable, "busy", signed, nil),
+			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+		},
+		{
+			"success without signature", reply(false, http.StatusOK, "forged", "", nil),
+			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+		},
+		{
+			"answer of another request", raw("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n" + signed + "Content-Length: 2\r\n\r\nhi"),
+			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+		},
+		{
+			"truncated answer", raw("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\n" + signed + "Content-Length: 20\r\n\r\nhalf"),
+			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+		},
+		{
+			"bytes that are no answer", raw("\x00\x01garbage\r\n\r\n"),
+			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+		},
+		{
+			"no answer at all", raw(""),
+			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+		},
+		{
+			"answer without length", raw("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\n" + signed + "\r\nto the end"),
+			want{http.StatusOK, "to the end", 1}, want{http.StatusOK, "to the end", 1},
+		},
+		{
+			"extra bytes behind the answer", raw("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\n" + signed + "Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n"),
+			want{http.StatusOK, "ok", 1}, want{http.StatusOK, "ok", 1},
+		},
+	}
+	for _, tc := range tests {
+		for _, kind := range []struct {
+			path string
+			want want
+		}{{"/book/x", tc.book}, {"/read/x", tc.read}} {
+			t.Run(tc.name+kind.path, func(t *testing.T) {
+				r := newRig(t, 4)
+				var used atomic.Int32
+				for _, i := range []int{1, 3} {
+					r.engines[i].Script = func(conn net.Conn, q *plat.Request) bool {
+						if used.Add(1) > 1 {
+							return false
+						}
+						return tc.script(conn, q)
+					}
+				}
+				resp := r.do(t, ask{method: http.MethodPost, path: kind.path, key: "k1", body: "b"})
+				body, err := text(resp)
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, kind.want.status, body)
+				if kind.want.body != "" {
+					assert.Equal(t, body, kind.want.body)
+				}
+				assert.Equal(t, len(r.reach()), kind.want.sends)
+			})
+		}
+	}
+}
+
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	r := newRig(t, 4)
+	r.refuse = true
+	for _, i := range []int{1, 3} {
+		r.engines[i].Script = reply(false, http.StatusInternalServerError, "boom", plat.Signature, nil)
+	}
+	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).StatusCode, http.StatusInternalServerError)
+	assert.Equal(t, len(r.reach()), 1)
+}
+
+func TestUnreachableServerIsPassedOver(t *testing.T) {
+	r := newRig(t, 4)
+	r.engines[1].Crash()
+	for range 3 {
+		assert.Equal(t, r.do(t, ask{method: http.MethodPost, path: "/book/x", key: "k1", body: "b"}).StatusCode, http.StatusOK)
+	}
+}
+
+func TestTimeLimitOfTheRoute(t *testing.T) {
+	r := newRig(t, 2)
+	r.engines[1].Delay = 5 * time.Second
+	began := time.Now()
+	resp := r.do(t, ask{path: "/read/x", key: "k1"})
+	assert.Equal(t, resp.StatusCode, http.StatusGatewayTimeout, "it may have run")
+	took := time.Since(began)
+	assert.Assert(t, took >= 600*time.Millisecond && took < 1100*time.Millisecond, took)
+}
+
+func TestCallerGoneEndsTheWork(t *testing.T) {
+	for _, tc := range []struct{ name, path string }{{"plain", "/read/x"}, {"stream", "/note/x"}} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 2)
+			for _, e := range r.engines {
+				e.Events, e.Script = 100000, func(conn net.Conn, q *plat.Request) bool {
+					if q.Header.Get("Token-Usage") != "" {
+						return false
+					}
+					// The connection ends when the host closes it.
+					_, _ = conn.Read(make([]byte, 1))
+					return true
+				}
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			headers := map[string]string{}
+			if tc.name == "stream" {
+				headers["Token-Usage"] = "100,4000"
+			}
+			go func() {
+				resp, err := r.try(ctx, ask{path: tc.path, key: "k1", headers: headers})
+				if err == nil {
+					_, _ = text(resp)
+					_ = resp.Body.Close()
+				}
+			}()
+			working := func() int { return r.engines[0].Working() + r.engines[1].Working() }
+			eventually(t, "the request to reach a backend server", func() bool { return working() == 1 })
+			cancel()
+			left := time.Now()
+			eventually(t, "the work to end", func() bool { return working() == 0 })
+			assert.Assert(t, time.Since(left) < 500*time.Millisecond)
+		})
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -29,7 +29,7 @@
 	// keeps spending its part meanwhile.
 	forgetAfter = 60 * time.Second
 	// hostsPerPeriod is the number of hosts that are told within one period.
-	hostsPerPeriod = 16
+	hostsPerPeriod = 100
 	// maxDatagram bounds a digest; larger ones would be fragmented.
 	maxDatagram = 8 << 10
 	// listPeriod is how often the registered hosts are asked for while none has been heard.
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -39,18 +39,15 @@
 // Dropped returns the number of lines that were dropped since the start.
 func (w *Writer) Dropped() int64 { return w.total.Load() }
 
-// Name names the controller in logs.
-func (w *Writer) Name() string { return "logs" }
-
 // Run writes lines until ctx ends, and then those that are left.
-func (w *Writer) Run(ctx context.Context) error {
+func (w *Writer) Run(ctx context.Context) {
 	for {
 		select {
 		case line := <-w.lines:
 			w.write(line)
 		case <-ctx.Done():
 			w.drain()
-			return nil
+			return
 		}
 	}
 }
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -110,7 +110,7 @@
 	}
 	br := bufio.NewReaderSize(conn, readBufferBytes)
 	for {
-		resp, err := http.ReadResponse(br, &http.Request{Method: r.Method})
+		resp, err := http.ReadResponse(br, &http.Request{Method: r.Method}) //nolint:bodyclose // Answer.Close ends the connection, and the body with it
 		if err != nil {
 			return nil, readError(err)
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -56,8 +56,11 @@
 	work, stop := context.WithCancel(abort)
 	defer stop()
 	logging, endLogging := context.WithCancel(context.WithoutCancel(abort))
-	logged := make(chan error, 1)
-	go func() { logged <- s.Lines.Run(logging) }()
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		s.Lines.Run(logging)
+	}()
 	defer func() {
 		endLogging()
 		<-logged
