--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,212 @@
+package pool
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonspur/tarragonspur/internal/policy"
+)
+
+func model() *policy.Service {
+	return &policy.Service{Name: "model", ColdPerSecond: 5, Engine: &policy.Engine{Slots: 8, MemoryTokens: 10000}}
+}
+
+func server(id, domain, region string) Server {
+	return Server{ID: id, Service: "model", Address: netip.MustParseAddrPort("127.0.0.1:1"), Domain: domain, Region: region, Slots: 8}
+}
+
+func newPool(servers ...Server) *Pool {
+	p := &Pool{Domain: "d1", Region: "east", Jitter: func() float64 { return 0 }}
+	p.Replace(servers, time.Time{}, time.Unix(100, 0))
+	return p
+}
+
+func TestChoose(t *testing.T) {
+	now := time.Unix(100, 0)
+	a, b, far := server("a", "d1", "east"), server("b", "d2", "east"), server("far", "d3", "west")
+	tests := []struct {
+		name    string
+		prepare func(p *Pool)
+		ask     Ask
+		want    string
+	}{
+		{"own failure domain first", func(*Pool) {}, Ask{}, "a"},
+		{"not one that was tried", func(*Pool) {}, Ask{Exclude: []string{"a"}}, "b"},
+		{"not a draining one", func(p *Pool) { s := a; s.Draining = true; p.Put(s, now) }, Ask{}, "b"},
+		{"not one of a failure domain that is out", func(p *Pool) { p.SetEvacuated([]string{"d1"}) }, Ask{}, "b"},
+		{"only allowed regions", func(*Pool) {}, Ask{Regions: [][]string{nil, {"west"}}}, "far"},
+		{"each list of regions binds", func(*Pool) {}, Ask{Regions: [][]string{{"east"}, {"west"}}}, ""},
+		{"less loaded by other hosts", func(p *Pool) { p.SetRemote("h", map[string]Load{"a": {Runs: 1, Pending: 3000}}) }, Ask{}, "b"},
+		{"memory that is free", func(p *Pool) { p.SetRemote("h", map[string]Load{"a": {Tokens: 9900}}) }, Ask{Tokens: 3000}, "b"},
+		{"one that does not fail", func(p *Pool) {
+			l, err := p.Claim("a", 0, now)
+			assert.NilError(t, err)
+			l.End()
+			l.Broke(now)
+		}, Ask{}, "b"},
+		{"a suspect rather than none", func(p *Pool) {
+			for _, id := range []string{"a", "b", "far"} {
+				l, err := p.Claim(id, 0, now)
+				assert.NilError(t, err)
+				l.End()
+				l.Broke(now)
+			}
+		}, Ask{}, "a"},
+		{"the other region rather than a long wait", func(p *Pool) {
+			p.SetRemote("h", map[string]Load{"a": {Pending: 9000}, "b": {Pending: 9000}})
+		}, Ask{}, "far"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPool(a, b, far)
+			tc.prepare(p)
+			tc.ask.Service = model()
+			l, err := p.Choose(tc.ask, now)
+			if tc.want == "" {
+				assert.ErrorIs(t, err, ErrNoServer)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, l.Server.ID, tc.want)
+		})
+	}
+}
+
+func TestLeaseIsGivenBack(t *testing.T) {
+	p := newPool(server("a", "d1", "east"))
+	l, err := p.Choose(Ask{Service: model(), Prompt: 100, Tokens: 400}, time.Unix(100, 0))
+	assert.NilError(t, err)
+	assert.Equal(t, p.Own()["a"], Load{Runs: 1, Tokens: 400, Pending: 100})
+	l.Read()
+	l.Hold(700)
+	assert.Equal(t, p.Own()["a"], Load{Runs: 1, Tokens: 700})
+	l.End()
+	l.End()
+	l.Hold(900)
+	assert.Equal(t, len(p.Own()), 0)
+}
+
+func TestColdServerGetsItsBound(t *testing.T) {
+	now := time.Unix(100, 0)
+	cold := server("a", "d1", "east")
+	cold.Cold = 10 * time.Second
+	p := newPool(cold)
+	p.ColdShare = func(_ string, perSecond float64) float64 { return perSecond / 2 }
+	sends := func() int {
+		n := 0
+		for range 20 {
+			if l, err := p.Choose(Ask{Service: model()}, now); err == nil {
+				l.End()
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, sends(), 2, "half of 5 a second")
+	now = now.Add(900 * time.Millisecond)
+	assert.Equal(t, sends(), 0)
+	now = now.Add(200 * time.Millisecond)
+	assert.Equal(t, sends(), 2)
+	now = now.Add(10 * time.Second)
+	assert.Equal(t, sends(), 20, "warm again")
+}
+
+func TestLapsedEntriesAreGoneAfterTheirTime(t *testing.T) {
+	now := time.Unix(100, 0)
+	tests := []struct {
+		name  string
+		lose  func(p *Pool, at time.Time)
+		after time.Duration
+		open  bool
+	}{
+		{"removed at once", func(p *Pool, _ time.Time) { p.Remove("a", now, now) }, 0, false},
+		{"lapsed, still in time", func(p *Pool, at time.Time) { p.Remove("a", at, now) }, time.Second, true},
+		{"lapsed, time over", func(p *Pool, at time.Time) { p.Remove("a", at, now) }, 2 * time.Second, false},
+		{"not listed, still in time", func(p *Pool, at time.Time) { p.Replace(nil, at, now) }, time.Second, true},
+		{"not listed twice, time counts from the first", func(p *Pool, at time.Time) {
+			p.Replace(nil, at, now)
+			p.Replace(nil, at.Add(time.Second), now.Add(time.Second))
+		}, 2 * time.Second, false},
+		{"back in time", func(p *Pool, at time.Time) {
+			p.Remove("a", at, now)
+			p.Put(server("a", "d1", "east"), now.Add(time.Second))
+		}, 3 * time.Second, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPool(server("a", "d1", "east"))
+			tc.lose(p, now.Add(2*time.Second))
+			_, open := p.Get("a", now.Add(tc.after))
+			assert.Equal(t, open, tc.open)
+		})
+	}
+}
+
+func TestNewIncarnationStartsAfresh(t *testing.T) {
+	now := time.Unix(100, 0)
+	old := server("a", "d1", "east")
+	old.Born = 1
+	p := newPool(old, server("b", "d2", "east"))
+	l, err := p.Claim("a", 5000, now)
+	assert.NilError(t, err)
+	l.Broke(now)
+	born := old
+	born.Born = 2
+	p.Put(born, now)
+	next, err := p.Choose(Ask{Service: model()}, now)
+	assert.NilError(t, err)
+	assert.Equal(t, next.Server.ID, "a", "what is known of the incarnation before does not count")
+	l.End()
+	assert.Equal(t, p.Own()["a"].Runs, 1)
+}
+
+func TestCopiesStayInTheirRegion(t *testing.T) {
+	now := time.Unix(100, 0)
+	a, b, far := server("a", "d1", "east"), server("b", "d1", "east"), server("far", "d3", "west")
+	p := newPool(a, b, far)
+	l, err := p.ChooseCopy(Ask{Service: model(), Beside: &a, Tokens: 100}, StandingRoom, now)
+	assert.NilError(t, err)
+	assert.Equal(t, l.Server.ID, "b")
+	_, err = p.ChooseCopy(Ask{Service: model(), Beside: &far, Tokens: 100}, StandingRoom, now)
+	assert.ErrorIs(t, err, ErrNoServer)
+}
+
+func TestCopiesLeaveRoom(t *testing.T) {
+	now := time.Unix(100, 0)
+	a, b := server("a", "d1", "east"), server("b", "d1", "east")
+	for _, tc := range []struct {
+		room float64
+		used int
+		ok   bool
+	}{{StandingRoom, 5900, true}, {StandingRoom, 6000, false}, {MovingRoom, 9400, true}, {MovingRoom, 9600, false}} {
+		t.Run(fmt.Sprintf("%g of memory, %d used", tc.room, tc.used), func(t *testing.T) {
+			p := newPool(a, b)
+			p.SetRemote("h", map[string]Load{"b": {Tokens: tc.used}})
+			_, err := p.ChooseCopy(Ask{Service: model(), Beside: &a, Tokens: 100}, tc.room, now)
+			assert.Equal(t, err == nil, tc.ok)
+		})
+	}
+}
+
+func TestRemoteLoadsAreReplaced(t *testing.T) {
+	now := time.Unix(100, 0)
+	p := newPool(server("a", "d1", "east"))
+	p.SetRemote("h1", map[string]Load{"a": {Runs: 2, Tokens: 20}, "b": {Runs: 1}})
+	p.SetRemote("h2", map[string]Load{"a": {Runs: 3, Tokens: 30}})
+	p.SetRemote("h1", map[string]Load{"a": {Runs: 1, Tokens: 10}, "b": {Runs: 4}})
+	p.Put(server("b", "d1", "east"), now)
+	loads := make(map[string]Load)
+	for s, l := range p.Snapshot() {
+		loads[s.ID] = l
+	}
+	assert.DeepEqual(t, loads, map[string]Load{"a": {Runs: 4, Tokens: 40}, "b": {Runs: 4}})
+	p.SetRemote("h1", nil)
+	for s, l := range p.Snapshot() {
+		loads[s.ID] = l
+	}
+	assert.DeepEqual(t, loads, map[string]Load{"a": {Runs: 3, Tokens: 30}, "b": {}})
+}
