--- a/internal/fakes/plat/store.go
+++ b/internal/fakes/plat/store.go
@@ -59,6 +59,7 @@
 
 type event struct {
 	kind    string
+	at      int64
 	Object  object `json:"object"`
 	Deleted bool   `json:"deleted"`
 }
@@ -119,7 +120,7 @@
 		s.objects[kind] = make(map[string]object)
 	}
 	s.objects[kind][name] = o
-	s.history = append(s.history, event{kind: kind, Object: o})
+	s.history = append(s.history, event{kind: kind, at: s.revision, Object: o})
 	s.wake()
 	return o
 }
@@ -134,7 +135,7 @@
 	}
 	s.revision++
 	delete(s.objects[kind], name)
-	s.history = append(s.history, event{kind: kind, Object: o, Deleted: true})
+	s.history = append(s.history, event{kind: kind, at: s.revision, Object: o, Deleted: true})
 	s.wake()
 }
 
@@ -237,8 +238,7 @@
 func (s *Store) after(kind string, since int64) []event {
 	events := []event{}
 	for _, e := range s.history {
-		// A removal carries the revision of the object's last change, so that its place in the history counts.
-		if e.kind == kind && (e.Object.Metadata.Revision > since || e.Deleted) {
+		if e.kind == kind && e.at > since {
 			events = append(events, e)
 		}
 	}
