--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -101,6 +101,7 @@
 		f.standby = backup
 	}
 	q.log.Info("stream sent", "server", lease.Server.ID, "domain", lease.Server.Domain, "backup", f.standby.server(),
+		"runs", lease.Seen.Runs, "pending", lease.Seen.Pending, "held", lease.Seen.Tokens,
 		"from_copy", s.From.Name != "", "last_event", s.LastEvent, "tokens", q.Prompt, "output_hint", q.OutputHint)
 	answer, err := send.Open(ctx, lease.Server.Address, q.outgoing(s))
 	if err != nil {
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -62,6 +62,8 @@
 // Lease is one request's claim on a backend server.
 type Lease struct {
 	Server Server
+	// Seen is the load of the backend server, by all hosts as far as known, on which it was chosen.
+	Seen Load
 
 	pool    *Pool
 	entry   *entry
@@ -136,8 +138,9 @@
 }
 
 func (p *Pool) lease(e *entry, l Load) *Lease {
+	seen := e.load()
 	e.own.add(l)
-	return &Lease{Server: e.Server, pool: p, entry: e, load: l, pending: l.Pending}
+	return &Lease{Server: e.Server, Seen: seen, pool: p, entry: e, load: l, pending: l.Pending}
 }
 
 func (p *Pool) fits(e *entry, a Ask, now time.Time) bool {
