--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -55,6 +55,7 @@
 		newMeasureCmd().cmd,
 		newCapacityCmd().cmd,
 		newReplayCmd().cmd,
+		newSoakCmd().cmd,
 		newVersionCmd().cmd,
 		newAdminCmd().cmd,
 	)
--- /dev/null
+++ b/internal/cmds/soak.go
@@ -0,0 +1,57 @@
+package cmds
+
+import (
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/tarragonspur/tarragonspur/internal/soak"
+)
+
+type soakCmd struct {
+	cmd  *cobra.Command
+	opts soakOpts
+}
+
+type soakOpts struct {
+	seed                           uint64
+	seeds, hosts, engines, callers int
+	length                         time.Duration
+}
+
+func newSoakCmd() *soakCmd {
+	c := &soakCmd{}
+	c.cmd = &cobra.Command{
+		Use:   "soak",
+		Short: "Run entry hosts as processes under random faults and check the system's promises",
+		Args:  cobra.NoArgs,
+		RunE:  c.run,
+	}
+	c.cmd.Flags().Uint64Var(&c.opts.seed, "seed", 1, "first seed; it decides requests and faults")
+	c.cmd.Flags().IntVar(&c.opts.seeds, "seeds", 1, "number of seeds to run, one after the other")
+	c.cmd.Flags().DurationVar(&c.opts.length, "for", 10*time.Second, "time with faults for each seed")
+	c.cmd.Flags().IntVar(&c.opts.hosts, "hosts", 3, "entry hosts, each a process")
+	c.cmd.Flags().IntVar(&c.opts.engines, "engines", 8, "backend servers, half of them model engines")
+	c.cmd.Flags().IntVar(&c.opts.callers, "callers", 12, "callers")
+	return c
+}
+
+func (c *soakCmd) run(cmd *cobra.Command, _ []string) error {
+	binary, err := os.Executable()
+	if err != nil {
+		return errors.Wrap(err, "find own program")
+	}
+	var failed error
+	for i := range c.opts.seeds {
+		s := &soak.Soak{
+			Seed: c.opts.seed + uint64(i), For: c.opts.length, Hosts: c.opts.hosts, Engines: c.opts.engines, Callers: c.opts.callers,
+			Binary: binary, Out: cmd.OutOrStdout(),
+		}
+		if err := s.Run(cmd.Context()); err != nil {
+			failed = errors.CombineErrors(failed, err)
+		}
+	}
+	return failed
+}
--- a/internal/fakes/plat/engine.go
+++ b/internal/fakes/plat/engine.go
@@ -45,6 +45,8 @@
 	Plant *Plant
 	// Script may take requests over.
 	Script Script
+	// Public is the address that others know the engine by; the zero value means its own.
+	Public netip.AddrPort
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -71,6 +73,16 @@
 	go e.accept(l)
 }
 
+// Restart starts a crashed engine again; one that runs is left alone.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	dead := e.dead
+	e.mu.Unlock()
+	if dead {
+		e.Start()
+	}
+}
+
 // Crash closes the listener and resets all connections.
 func (e *Engine) Crash() {
 	e.mu.Lock()
@@ -88,6 +100,14 @@
 // Address returns the address that the engine listens on.
 func (e *Engine) Address() netip.AddrPort { return netip.MustParseAddrPort(e.listener.Addr().String()) }
 
+// PublicAddress returns the address that others know the engine by.
+func (e *Engine) PublicAddress() netip.AddrPort {
+	if e.Public.IsValid() {
+		return e.Public
+	}
+	return e.Address()
+}
+
 // Requests returns all requests that reached the engine.
 func (e *Engine) Requests() []Request {
 	e.mu.Lock()
@@ -249,7 +269,7 @@
 		return
 	}
 	handle := "h-" + call.ID
-	e.Plant.add(e.Address().String() + "/" + handle)
+	e.Plant.add(e.PublicAddress().String() + "/" + handle)
 	Reply(conn, r, http.StatusOK, fmt.Sprintf(`{"kvHandle":%q,"created":1}`, handle), "Content-Type: application/json\r\n")
 }
 
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -28,8 +28,11 @@
 )
 
 const (
-	// tableWait bounds the age of the newest confirmation of the table, and so how soon keys are refused after the store is lost.
+	// tableWait is the longest wait of one call for a newer table.
 	tableWait = 800 * time.Millisecond
+	// waitsPerKeyAge is the number of waits within which keys are refused. A confirmation is up to two waits old at the
+	// host that reads, two more at a host that asks it, and one call may fail.
+	waitsPerKeyAge = 5
 	// serversWait bounds the age at which a reading host hands on backend servers and failure domains.
 	serversWait = 2 * time.Second
 	// collect gathers changes of backend servers into one call.
@@ -130,10 +133,18 @@
 	return time.Duration(keyMargin * float64(s.Platform.KeyAge))
 }
 
-func newTables(m *mirror.Mirror, h *policy.Holder, health *watch.Health, log *slog.Logger) *watch.Follower[*policy.Table] {
+// waitForTable is the wait of one call for a newer table.
+func waitForTable(s config.Settings) time.Duration {
+	if s.Platform.KeyAge == 0 {
+		return tableWait
+	}
+	return min(tableWait, keyAge(s)/waitsPerKeyAge)
+}
+
+func newTables(s config.Settings, m *mirror.Mirror, h *policy.Holder, health *watch.Health, log *slog.Logger) *watch.Follower[*policy.Table] {
 	return &watch.Follower[*policy.Table]{
 		Kind: "table", Source: platform.Tables{Store: m, Log: log}, Sink: &watch.Tables{Holder: h, Log: log},
-		Wait: tableWait, Pause: collect / 2, Health: health, Log: log,
+		Wait: waitForTable(s), Pause: collect / 2, Health: health, Log: log,
 	}
 }
 
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -18,14 +14,14 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 	"github.com/tarragonspur/tarragonspur/internal/logs"
-	"github.com/tarragonspur/tarragonspur/pkg/config"
+	"github.com/tarragonspur/tarragonspur/internal/town"
 )
 
-// town is a platform with hosts on loopback.
-type town struct {
-	store   *plat.Store
-	engines []*plat.Engine
-	hosts   []*running
+// place is a town with hosts in this process.
+type place struct {
+	*town.Town
+
+	hosts []*running
 }
 
 // running is one host and the way to stop it.
@@ -36,45 +32,11 @@
 	ended       chan error
 }
 
-const version = `{"version": %d,
- "routes": [
-  {"name": "read", "host": "h.example", "pathPrefix": "/read/", "routeKind": "idempotent", "timeoutMs": 2000, "service": "mill", "maxAttempts": 2},
-  {"name": "report", "host": "h.example", "pathPrefix": "/report/", "routeKind": "streaming", "timeoutMs": 9000, "service": "model", "maxAttempts": 1},
-  {"name": "new", "host": "h.example", "pathPrefix": "%s", "routeKind": "idempotent", "timeoutMs": 2000, "service": "mill", "maxAttempts": 2}],
- "services": [{"name": "mill"}, {"name": "model", "engine": {"slots": 8, "kvCapacityTokens": 30000, "moves": true, "backups": true, "stride": 4, "handleTtlS": 5}}],
- "tenants": [{"name": "w1", "apiKeys": [%s]}]}`
-
-func (w *town) table(number int, prefix, keys string) {
-	w.store.Put("config", "main", json.RawMessage(fmt.Sprintf(version, number, prefix, keys)))
-}
-
-func (w *town) register(e *plat.Engine, state string) {
-	service := "mill"
-	if e.Events > 0 {
-		service = "model"
-	}
-	w.store.Put("servers", e.ID, map[string]any{
-		"service": service, "address": e.Address().String(), "zone": "d1", "slots": 8, "state": state, "coldRemainingMs": 0,
-	})
-}
-
-// newTown starts a store, three engines of each service and hosts that are ready.
-func newTown(t *testing.T, hosts int) *town {
+// newTown starts a town and hosts that are ready.
+func newTown(t *testing.T, hosts int) *place {
 	t.Helper()
-	w := &town{store: plat.NewStore()}
-	t.Cleanup(w.store.Close)
-	plant := &plat.Plant{}
-	for i := range 6 {
-		e := &plat.Engine{ID: fmt.Sprint("e", i), Pause: 10 * time.Millisecond, Plant: plant}
-		if i%2 == 0 {
-			e.Events = 40
-		}
-		e.Start()
-		t.Cleanup(e.Crash)
-		w.engines = append(w.engines, e)
-		w.register(e, "healthy")
-	}
-	w.table(1, "/old/", `"k1"`)
+	w := &place{Town: town.New(6, 40)}
+	t.Cleanup(w.Close)
 	for i := range hosts {
 		w.start(t, i)
 	}
@@ -89,25 +51,10 @@
 	return w
 }
 
-func free(t *testing.T) netip.AddrPort {
+func (w *place) start(t *testing.T, i int) {
 	t.Helper()
-	var lc net.ListenConfig
-	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	s, err := town.Settings(t.Context(), i, w.Store.Address())
 	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
-func (w *town) start(t *testing.T, i int) {
-	t.Helper()
-	s := config.Default()
-	s.Host, s.Domain, s.Region = fmt.Sprint("h", i), "d1", "east"
-	s.Callers, s.Peers, s.Metrics, s.Store = free(t), free(t), free(t), w.store.Address()
-	s.Platform = &config.Platform{
-		Ready: free(t), Regions: map[string]string{"d1": "east"}, KeyAge: config.Duration(2 * time.Second), RetryRatio: 0.2, RetryExtra: 50,
-		RetryWindow: config.Duration(10 * time.Second), Grace: config.Duration(5 * time.Second), Cores: 1, MemoryMB: 512,
-	}
-	assert.NilError(t, s.Check())
 	site, err := Build(t.Context(), s, logs.NewWriter(io.Discard), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	assert.NilError(t, err)
 	h := &running{Site: site, ended: make(chan error, 1)}
@@ -123,7 +70,7 @@
 	w.hosts = append(w.hosts, h)
 }
 
-func (w *town) ready(t *testing.T, i int) int {
+func (w *place) ready(t *testing.T, i int) int {
 	t.Helper()
 	return w.get(t, "http://"+w.hosts[i].Settings.Platform.Ready.String()+"/any/path", "").status
 }
@@ -134,16 +81,16 @@
 	header http.Header
 }
 
-func (w *town) ask(t *testing.T, i int, path, key string) answer {
+func (w *place) ask(t *testing.T, i int, path, key string) answer {
 	t.Helper()
 	return w.get(t, "http://"+w.hosts[i].Settings.Callers.String()+path, key)
 }
 
-func (w *town) get(t *testing.T, url, key string) answer {
+func (w *place) get(t *testing.T, url, key string) answer {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, http.NoBody)
 	assert.NilError(t, err)
-	req.Host = "h.example"
+	req.Host = town.Host
 	req.Header.Set("Attempt-Id", "id1")
 	req.Header.Set("Key", key)
 	if strings.Contains(url, "/report/") {
@@ -161,7 +108,7 @@
 	return answer{resp.StatusCode, string(body), resp.Header}
 }
 
-func (w *town) eventually(t *testing.T, what string, ok func() bool) {
+func (w *place) eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if ok() {
@@ -174,12 +121,12 @@
 func TestCalmDay(t *testing.T) {
 	w := newTown(t, 2)
 	for i := range w.hosts {
-		assert.Equal(t, w.ask(t, i, "/read/x", "k1").status, http.StatusOK)
+		assert.Equal(t, w.ask(t, i, "/read/x", town.Key).status, http.StatusOK)
 		var story strings.Builder
 		for n := range 40 {
 			story.WriteString(plat.Event("id1", n))
 		}
-		assert.Equal(t, w.ask(t, i, "/report/x", "k1").body, story.String())
+		assert.Equal(t, w.ask(t, i, "/report/x", town.Key).body, story.String())
 	}
 	w.eventually(t, "the hosts to meet", func() bool {
 		return len(w.hosts[0].Gossip.Names()) == 2 && len(w.hosts[1].Gossip.Names()) == 2
@@ -200,65 +147,65 @@
 		_, second := w.hosts[1].Gossip.Reader()
 		return first != second
 	})
-	w.table(2, "/new/", `"k1","k2"`)
+	w.SetTable("/new/", town.Key, "k2")
 	for i := range w.hosts {
 		w.eventually(t, "the new route", func() bool { return w.ask(t, i, "/new/x", "k2").status == http.StatusOK })
-		assert.Equal(t, w.ask(t, i, "/old/x", "k1").status, http.StatusNotFound)
+		assert.Equal(t, w.ask(t, i, "/read/x", town.Key).status, http.StatusNotFound)
 	}
-	w.table(3, "/new/", `"k1"`)
+	w.SetTable("/new/", town.Key)
 	for i := range w.hosts {
-		w.eventually(t, "the key to be gone", func() bool { return w.ask(t, i, "/read/x", "k2").status == http.StatusUnauthorized })
+		w.eventually(t, "the key to be gone", func() bool { return w.ask(t, i, "/new/x", "k2").status == http.StatusUnauthorized })
 	}
 }
 
 func TestDrainingAndEvacuation(t *testing.T) {
 	w := newTown(t, 1)
 	for _, e := range []int{1, 3} {
-		w.register(w.engines[e], "draining")
+		w.Register(w.Engines[e], true)
 	}
 	w.eventually(t, "the draining engines to be known", func() bool {
 		return w.hosts[0].Pool.IsLeaving("e1") && w.hosts[0].Pool.IsLeaving("e3")
 	})
-	before := len(w.engines[1].Requests()) + len(w.engines[3].Requests())
+	before := len(w.Engines[1].Requests()) + len(w.Engines[3].Requests())
 	for range 10 {
-		assert.Equal(t, w.ask(t, 0, "/read/x", "k1").status, http.StatusOK)
+		assert.Equal(t, w.ask(t, 0, "/read/x", town.Key).status, http.StatusOK)
 	}
-	assert.Equal(t, len(w.engines[1].Requests())+len(w.engines[3].Requests()), before)
-	w.store.Put("evacuations", "d1", struct{}{})
-	w.eventually(t, "the failure domain to be out", func() bool { return w.ask(t, 0, "/read/x", "k1").status == http.StatusServiceUnavailable })
-	w.store.Delete("evacuations", "d1")
-	w.eventually(t, "the failure domain to be back", func() bool { return w.ask(t, 0, "/read/x", "k1").status == http.StatusOK })
+	assert.Equal(t, len(w.Engines[1].Requests())+len(w.Engines[3].Requests()), before)
+	w.Evacuate(true)
+	w.eventually(t, "the failure domain to be out", func() bool { return w.ask(t, 0, "/read/x", town.Key).status == http.StatusServiceUnavailable })
+	w.Evacuate(false)
+	w.eventually(t, "the failure domain to be back", func() bool { return w.ask(t, 0, "/read/x", town.Key).status == http.StatusOK })
 }
 
 func TestStoreOutage(t *testing.T) {
 	w := newTown(t, 1)
-	w.store.SetOutage(plat.Busy)
-	assert.Equal(t, w.ask(t, 0, "/read/x", "k1").status, http.StatusOK, "the last known state serves on")
-	w.eventually(t, "keys to fail closed", func() bool { return w.ask(t, 0, "/read/x", "k1").status == http.StatusServiceUnavailable })
+	w.Store.SetOutage(plat.Busy)
+	assert.Equal(t, w.ask(t, 0, "/read/x", town.Key).status, http.StatusOK, "the last known state serves on")
+	w.eventually(t, "keys to fail closed", func() bool { return w.ask(t, 0, "/read/x", town.Key).status == http.StatusServiceUnavailable })
 	assert.Equal(t, w.ready(t, 0), http.StatusOK)
-	w.store.SetOutage(plat.Up)
-	w.eventually(t, "keys to be accepted again", func() bool { return w.ask(t, 0, "/read/x", "k1").status == http.StatusOK })
+	w.Store.SetOutage(plat.Up)
+	w.eventually(t, "keys to be accepted again", func() bool { return w.ask(t, 0, "/read/x", town.Key).status == http.StatusOK })
 }
 
 func TestStoreForgetsItsHistory(t *testing.T) {
 	w := newTown(t, 1)
-	w.store.Compact()
-	w.table(2, "/new/", `"k1"`)
-	w.eventually(t, "the new route", func() bool { return w.ask(t, 0, "/new/x", "k1").status == http.StatusOK })
+	w.Store.Compact()
+	w.SetTable("/new/", town.Key)
+	w.eventually(t, "the new route", func() bool { return w.ask(t, 0, "/new/x", town.Key).status == http.StatusOK })
 }
 
 func TestStopLetsRequestsEnd(t *testing.T) {
 	w := newTown(t, 1)
 	done := make(chan answer, 1)
-	for i := range w.engines {
-		w.engines[i].Pause = 25 * time.Millisecond
+	for i := range w.Engines {
+		w.Engines[i].Pause = 25 * time.Millisecond
 	}
-	go func() { done <- w.ask(t, 0, "/report/x", "k1") }()
+	go func() { done <- w.ask(t, 0, "/report/x", town.Key) }()
 	time.Sleep(100 * time.Millisecond)
 	w.hosts[0].stop()
 	w.eventually(t, "the readiness check to fail", func() bool { return w.ready(t, 0) == http.StatusServiceUnavailable })
 	assert.Equal(t, (<-done).status, http.StatusOK)
-	got := w.ask(t, 0, "/read/x", "k1")
+	got := w.ask(t, 0, "/read/x", town.Key)
 	assert.Equal(t, got.status, http.StatusOK, "connections that still come are served")
 	began := time.Now()
 	err := <-w.hosts[0].ended
