--- a/internal/budget/shared.go
+++ b/internal/budget/shared.go
@@ -10,12 +10,20 @@
 	margin = 0.85
 	// plainPart of the budget is for plain retries; the rest is kept for streams that would be lost without one.
 	plainPart = 0.6
+	// commonPart of what all heard hosts may spend is open to each of them; the rest covers repeats that are not told yet.
+	commonPart = 0.7
 	// slots divides the window for counting.
 	slots = 20
 )
 
-// Shared bounds the repeated sends to each service by all hosts together over a sliding window. Each host spends
-// its part of what the window allows. It is safe for concurrent use.
+// Count is what one host or several have sent to a service within the window.
+type Count struct {
+	Arrivals int
+	Repeats  int
+}
+
+// Shared bounds the repeated sends to each service by all hosts together over a sliding window. Each host may spend
+// its part of what the window allows, and more while the hosts that it hears leave theirs. It is safe for concurrent use.
 type Shared struct {
 	// Ratio is the number of repeats that each arrival earns, and Extra the number that all hosts have besides.
 	Ratio float64
@@ -24,6 +32,8 @@
 	Window time.Duration
 	// Hosts returns the number of hosts that the extra repeats are divided by.
 	Hosts func() int
+	// Others returns what other hosts that are heard have counted for a service, and their number; nil means none.
+	Others func(service string) (Count, int)
 	// Now is the clock, which must not jump.
 	Now func() time.Duration
 
@@ -52,22 +62,54 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := s.window(service)
-	arrivals, repeats := 0, 0
-	for i := range w.arrivals {
-		arrivals += w.arrivals[i]
-		repeats += w.repeats[i]
-	}
-	allowed := margin * (s.Ratio*float64(arrivals) + s.Extra/float64(max(1, s.Hosts())))
+	part := 1.0
 	if !urgent {
-		allowed *= plainPart
+		part = plainPart
 	}
-	if float64(repeats+1) > max(1, allowed) {
+	if !s.hasOwnRoom(w.count(), part) && !s.hasCommonRoom(service, w.count(), part) {
 		return false
 	}
 	w.repeats[w.newest%(slots+1)]++
 	return true
 }
 
+// hasOwnRoom reports whether one more repeat stays within this host's part.
+func (s *Shared) hasOwnRoom(own Count, part float64) bool {
+	allowed := part * margin * (s.Ratio*float64(own.Arrivals) + s.Extra/float64(max(1, s.Hosts())))
+	return float64(own.Repeats+1) <= max(1, allowed)
+}
+
+// hasCommonRoom reports whether one more repeat stays within what this host and those that it hears may spend together.
+func (s *Shared) hasCommonRoom(service string, own Count, part float64) bool {
+	if s.Others == nil {
+		return false
+	}
+	others, heard := s.Others(service)
+	extra := s.Extra * float64(heard+1) / float64(max(1, heard+1, s.Hosts()))
+	allowed := part * commonPart * (s.Ratio*float64(own.Arrivals+others.Arrivals) + extra)
+	return float64(own.Repeats+others.Repeats+1) <= allowed
+}
+
+// Own returns what this host has sent within the window, by service.
+func (s *Shared) Own() map[string]Count {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := make(map[string]Count, len(s.services))
+	for service := range s.services {
+		own[service] = s.window(service).count()
+	}
+	return own
+}
+
+func (w *window) count() Count {
+	var c Count
+	for i := range w.arrivals {
+		c.Arrivals += w.arrivals[i]
+		c.Repeats += w.repeats[i]
+	}
+	return c
+}
+
 // window returns a service's counts with those that have left the window cleared; the caller holds the lock.
 func (s *Shared) window(service string) *window {
 	if s.services == nil {
--- a/internal/budget/shared_test.go
+++ b/internal/budget/shared_test.go
@@ -29,6 +29,29 @@
 	assert.Equal(t, spend(true), 6, "the window has passed, its arrivals too")
 }
 
+func TestSharedUsesWhatOthersLeave(t *testing.T) {
+	now := 1000 * time.Second
+	others, heard := Count{Arrivals: 100}, 6
+	s := &Shared{
+		Ratio: 0.2, Extra: 54, Window: 10 * time.Second, Hosts: func() int { return 7 }, Now: func() time.Duration { return now },
+		Others: func(string) (Count, int) { return others, heard },
+	}
+	spend := func() int {
+		n := 0
+		for s.Allow("model", true) {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, spend(), 51, "0.7 of 100*0.2 + 54")
+	now += 11 * time.Second
+	others.Repeats = 50
+	assert.Equal(t, spend(), 6, "the others have spent theirs, so the own part is left")
+	now += 11 * time.Second
+	others, heard = Count{}, 0
+	assert.Equal(t, spend(), 6, "a host that hears nobody has its own part")
+}
+
 func TestSharedSumStaysBelowBound(t *testing.T) {
 	const hosts, ratio, extra = 7, 0.2, 54.0
 	now := 1000 * time.Second
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/tarragonspur/tarragonspur/internal/budget"
 	"github.com/tarragonspur/tarragonspur/internal/crash"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 )
@@ -59,6 +60,15 @@
 	Cores float64 `cbor:"8,keyasint,omitempty"`
 	// Reading says that the host reads the store and can read for others.
 	Reading bool `cbor:"9,keyasint,omitempty"`
+	// Sends are the counts of the retry budget.
+	Sends []ServiceSends `cbor:"10,keyasint,omitempty"`
+}
+
+// ServiceSends is what a host has sent to a service within the window of the retry budget.
+type ServiceSends struct {
+	Service  string `cbor:"1,keyasint"`
+	Arrivals int    `cbor:"2,keyasint,omitempty"`
+	Repeats  int    `cbor:"3,keyasint,omitempty"`
 }
 
 // ServerLoad is a host's load on one backend server.
@@ -81,6 +91,7 @@
 	IsReading func() bool
 	Pool      *pool.Pool
 	Crashes   *crash.Table
+	Budget    *budget.Shared
 	Log       *slog.Logger
 
 	// started is signalled when this host has sent a request, which the others have to know before they send theirs.
@@ -109,6 +120,7 @@
 	cores        float64
 	reading      bool
 	leaving      bool
+	sends        []ServiceSends
 }
 
 // Name names the controller in logs.
@@ -289,6 +301,7 @@
 	d.Reading = g.IsReading()
 	d.Loads = loadsOf(g.Pool.Own())
 	d.Crashes = g.Crashes.Own()
+	d.Sends = sendsOf(g.Budget.Own())
 	return d
 }
 
@@ -374,6 +387,7 @@
 	}
 	p.incarnation, p.sequence, p.heard, p.silent = d.Incarnation, d.Sequence, time.Now(), false
 	p.region, p.cores, p.reading, p.leaving = d.Region, d.Cores, d.Reading, d.Leaving
+	p.sends = d.Sends
 	g.mu.Unlock()
 	loads := make(map[string]pool.Load, len(d.Loads))
 	for _, l := range d.Loads {
--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
+	"github.com/tarragonspur/tarragonspur/internal/budget"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 )
 
@@ -16,3 +18,34 @@
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	return loads
 }
+
+// sendsOf lists counts in a stable order.
+func sendsOf(own map[string]budget.Count) []ServiceSends {
+	sends := make([]ServiceSends, 0, len(own))
+	for service, c := range own {
+		sends = append(sends, ServiceSends{Service: service, Arrivals: c.Arrivals, Repeats: c.Repeats})
+	}
+	slices.SortFunc(sends, func(a, b ServiceSends) int { return cmp.Compare(a.Service, b.Service) })
+	return sends
+}
+
+// Sends returns what the hosts that are heard have sent to a service, and their number.
+func (g *Gossip) Sends(service string) (budget.Count, int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var sum budget.Count
+	heard := 0
+	for _, p := range g.peers {
+		if time.Since(p.heard) > silentAfter {
+			continue
+		}
+		heard++
+		for _, s := range p.sends {
+			if s.Service == service {
+				sum.Arrivals += s.Arrivals
+				sum.Repeats += s.Repeats
+			}
+		}
+	}
+	return sum, heard
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -54,8 +54,10 @@
 
 // Readers tells which host reads the store for this one.
 type Readers interface {
-	// Reader returns the reading host; the name is empty if this host reads the store itself.
+	// Reader returns the reading host; false if this host reads the store itself.
 	Reader() (Host, bool)
+	// Hosts returns the number of hosts that share the store's rate.
+	Hosts() int
 }
 
 // Mirror reads the store, or asks the host that reads it for this one. It keeps what it has read from the store for
@@ -70,24 +72,61 @@
 	kinds map[string]*cache
 	// avoid holds until when a host that failed is not asked again.
 	avoid map[string]time.Time
+	// failed holds for each kind when the store last failed to answer this host.
+	failed map[string]time.Time
 }
 
-// avoidFor is how long a host that failed to answer is not asked again.
-const avoidFor = 2 * time.Second
+const (
+	// avoidFor is how long a host that failed to answer is not asked again.
+	avoidFor = 500 * time.Millisecond
+	// hostsPerSecond is the number of hosts that may call a failing store in one second, for each kind.
+	hostsPerSecond = 15
+	// maxPause bounds the time between two calls of one host to a failing store.
+	maxPause = 4 * time.Second
+)
 
 // List returns all documents of a kind.
 func (m *Mirror) List(ctx context.Context, kind string) (Batch, error) {
 	if b, err := m.ask(ctx, kind, 0, 0); err == nil {
 		return b, nil
 	}
+	if m.isHeldBack(kind) {
+		return Batch{}, ErrNotReading
+	}
 	began := ticks.Now()
 	b, err := m.Store.List(ctx, kind)
+	m.note(kind, err)
 	if err == nil {
 		m.cache(kind).replace(b, began)
 	}
 	return b, err
 }
 
+// isHeldBack reports whether this host leaves a failing store alone for now. A host that reads for others tries on.
+func (m *Mirror) isHeldBack(kind string) bool {
+	if _, others := m.Readers.Reader(); !others {
+		return false
+	}
+	pause := min(maxPause, time.Duration(m.Readers.Hosts())*time.Second/hostsPerSecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.failed[kind]) < pause
+}
+
+// note keeps when a call of the store failed.
+func (m *Mirror) note(kind string, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failed == nil {
+		m.failed = make(map[string]time.Time)
+	}
+	if err == nil || errors.Is(err, ErrHistoryGone) {
+		delete(m.failed, kind)
+	} else {
+		m.failed[kind] = time.Now()
+	}
+}
+
 // Changes waits for changes after a revision.
 func (m *Mirror) Changes(ctx context.Context, kind string, since int64, wait time.Duration) (Batch, error) {
 	b, err := m.ask(ctx, kind, since, wait)
@@ -98,8 +137,12 @@
 		// This host has become the one that reads for others, which need all documents.
 		return Batch{}, ErrHistoryGone
 	}
+	if m.isHeldBack(kind) {
+		return Batch{}, ErrNotReading
+	}
 	began := ticks.Now()
 	b, err = m.Store.Changes(ctx, kind, since, wait)
+	m.note(kind, err)
 	switch {
 	case err == nil:
 		m.cache(kind).apply(b, since, began)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -42,6 +42,8 @@
 	return *r.host, true
 }
 
+func (r *reads) Hosts() int { return 60 }
+
 func newMirror(st Store, r Readers) *Mirror {
 	return &Mirror{Store: st, Readers: r, Link: &Link{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 }
@@ -165,3 +167,27 @@
 	assert.NilError(t, err)
 	assert.Assert(t, m.IsReading("k"))
 }
+
+func TestFailingStoreIsLeftAlone(t *testing.T) {
+	gone := Host{Name: "gone", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	tests := []struct {
+		name   string
+		reader *Host
+		calls  int
+	}{
+		{"a host that another one reads for", &gone, 1},
+		{"a host that reads for others", nil, 5},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			store := &book{err: errors.New("down")}
+			m := newMirror(store, &reads{host: tc.reader})
+			t.Cleanup(m.Link.Close)
+			for range 5 {
+				_, err := m.List(t.Context(), "k")
+				assert.Assert(t, err != nil)
+			}
+			assert.Equal(t, store.calls, tc.calls)
+		})
+	}
+}
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -115,7 +115,12 @@
 }
 
 func newBudget(s config.Settings, g *gossip.Gossip) *budget.Shared {
-	return &budget.Shared{Ratio: s.Platform.RetryRatio, Extra: s.Platform.RetryExtra, Window: time.Duration(s.Platform.RetryWindow), Hosts: g.Hosts, Now: ticks.Now}
+	b := &budget.Shared{
+		Ratio: s.Platform.RetryRatio, Extra: s.Platform.RetryExtra, Window: time.Duration(s.Platform.RetryWindow),
+		Hosts: g.Hosts, Others: g.Sends, Now: ticks.Now,
+	}
+	g.Budget = b
+	return b
 }
 
 func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, t *crash.Table, m *metric.Front, log *slog.Logger) *front.Front {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -76,7 +76,9 @@
 	revision := int64(0)
 	for ctx.Err() == nil {
 		next, changed, err := f.step(ctx, revision)
-		f.Health.Note(err == nil || errors.Is(err, mirror.ErrHistoryGone))
+		if !errors.Is(err, mirror.ErrNotReading) {
+			f.Health.Note(err == nil || errors.Is(err, mirror.ErrHistoryGone))
+		}
 		pause := time.Duration(0)
 		switch {
 		case ctx.Err() != nil:
