--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -79,7 +79,10 @@
 		}
 	}
 	var built *Site
-	err := c.Invoke(func(p parts) { built = &Site{parts: p} })
+	err := c.Invoke(func(p parts) error {
+		built = &Site{parts: p}
+		return built.addGauges(p.Metrics)
+	})
 	return built, errors.Wrap(err, "compose host")
 }
 
--- /dev/null
+++ b/internal/site/gauges.go
@@ -0,0 +1,63 @@
+package site
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonspur/tarragonspur/internal/metric"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
+)
+
+// addGauges shows what the host believes, with ages.
+func (s *Site) addGauges(m *metric.Set) error {
+	gauges := []struct {
+		name, description string
+		read              func() float64
+	}{
+		{"table_version", "Version of the table in force; 0 before the first.", func() float64 {
+			table, _ := s.Holder.View()
+			if table == nil {
+				return 0
+			}
+			return float64(table.Version)
+		}},
+		{"table_age_seconds", "Time since the table was known to be the newest; -1 before the first.", func() float64 {
+			table, confirmed := s.Holder.View()
+			if table == nil {
+				return -1
+			}
+			return (ticks.Now() - confirmed).Seconds()
+		}},
+		{"backend_servers_open", "Backend servers that may take requests.", func() float64 {
+			open := 0
+			for server := range s.Pool.Snapshot() {
+				if _, ok := s.Pool.Get(server.ID, time.Now()); ok {
+					open++
+				}
+			}
+			return float64(open)
+		}},
+		{"runs_in_progress", "Requests at backend servers by all hosts, as far as known.", func() float64 {
+			runs := 0
+			for _, load := range s.Pool.Snapshot() {
+				runs += load.Runs
+			}
+			return float64(runs)
+		}},
+		{"hosts_heard", "Hosts heard lately, this one included.", func() float64 { return float64(len(s.Gossip.Names())) }},
+		{"reads_for_others", "1 while this host reads the store for its region.", func() float64 {
+			if _, others := s.Gossip.Reader(); others || !s.Gossip.IsReading() {
+				return 0
+			}
+			return 1
+		}},
+		{"log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(s.Lines.Dropped()) }},
+	}
+	for _, g := range gauges {
+		if err := m.Gauge(g.name, g.description, g.read); err != nil {
+			return errors.Wrap(err, "add gauges")
+		}
+	}
+	return nil
+}
