--- a/internal/gossip/reader.go
+++ b/internal/gossip/reader.go
@@ -17,20 +17,33 @@
 	isReading := g.IsReading()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	best, bestCores := "", 0.0
-	if isReading && !g.leaving {
-		best, bestCores = g.Self, g.Cores
+	best := g.best(isReading, func(p *peer) bool { return p.reading })
+	if best == "" || best == g.Self {
+		return mirror.Host{}, false
+	}
+	return mirror.Host{Name: best, Address: g.peers[best].address}, true
+}
+
+// IsFirst reports whether this host would be chosen of all hosts of the region that are heard.
+func (g *Gossip) IsFirst() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.best(true, func(*peer) bool { return true }) == g.Self
+}
+
+// best returns the host with the largest processor share of those that may be chosen; the caller holds the lock.
+func (g *Gossip) best(mayBeSelf bool, may func(*peer) bool) string {
+	best, cores := "", 0.0
+	if mayBeSelf && !g.leaving {
+		best, cores = g.Self, g.Cores
 	}
 	for name, p := range g.peers {
-		if p.region != g.Region || !p.reading || p.leaving || time.Since(p.heard) > readerSilence {
+		if p.region != g.Region || p.leaving || !may(p) || time.Since(p.heard) > readerSilence {
 			continue
 		}
-		if best == "" || p.cores > bestCores || p.cores == bestCores && xxhash.Sum64String(name) > xxhash.Sum64String(best) {
-			best, bestCores = name, p.cores
+		if best == "" || p.cores > cores || p.cores == cores && xxhash.Sum64String(name) > xxhash.Sum64String(best) {
+			best, cores = name, p.cores
 		}
 	}
-	if best == "" || best == g.Self {
-		return mirror.Host{}, false
-	}
-	return mirror.Host{Name: best, Address: g.peers[best].address}, true
+	return best
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -56,6 +56,8 @@
 type Readers interface {
 	// Reader returns the reading host; false if this host reads the store itself.
 	Reader() (Host, bool)
+	// IsFirst reports whether this host is the one to read of those that are heard, whether they reach the store or not.
+	IsFirst() bool
 	// Hosts returns the number of hosts that share the store's rate.
 	Hosts() int
 }
@@ -102,9 +104,9 @@
 	return b, err
 }
 
-// isHeldBack reports whether this host leaves a failing store alone for now. A host that reads for others tries on.
+// isHeldBack reports whether this host leaves a failing store alone for now. The host that is to read tries on.
 func (m *Mirror) isHeldBack(kind string) bool {
-	if _, others := m.Readers.Reader(); !others {
+	if m.Readers.IsFirst() {
 		return false
 	}
 	pause := min(maxPause, time.Duration(m.Readers.Hosts())*time.Second/hostsPerSecond)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -33,7 +33,11 @@
 }
 
 // reads names the reading host; nil for this one.
-type reads struct{ host *Host }
+type reads struct {
+	host *Host
+	// second tells that another host is the one to read.
+	second bool
+}
 
 func (r *reads) Reader() (Host, bool) {
 	if r.host == nil {
@@ -42,6 +46,8 @@
 	return *r.host, true
 }
 
+func (r *reads) IsFirst() bool { return r.host == nil && !r.second }
+
 func (r *reads) Hosts() int { return 60 }
 
 func newMirror(st Store, r Readers) *Mirror {
@@ -171,17 +177,18 @@
 func TestFailingStoreIsLeftAlone(t *testing.T) {
 	gone := Host{Name: "gone", Address: netip.MustParseAddrPort("127.0.0.1:1")}
 	tests := []struct {
-		name   string
-		reader *Host
-		calls  int
+		name  string
+		reads *reads
+		calls int
 	}{
-		{"a host that another one reads for", &gone, 1},
-		{"a host that reads for others", nil, 5},
+		{"a host that another one reads for", &reads{host: &gone}, 1},
+		{"a host that another one is to read for", &reads{second: true}, 1},
+		{"the host that is to read", &reads{}, 5},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			store := &book{err: errors.New("down")}
-			m := newMirror(store, &reads{host: tc.reader})
+			m := newMirror(store, tc.reads)
 			t.Cleanup(m.Link.Close)
 			for range 5 {
 				_, err := m.List(t.Context(), "k")
