--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,177 @@
+package gossip
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/tarragonspur/tarragonspur/internal/budget"
+	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/policy"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
+)
+
+// registry is a Registry in memory.
+type registry struct {
+	mu  sync.Mutex
+	all map[string]netip.AddrPort
+}
+
+func (r *registry) Register(_ context.Context, name string, address netip.AddrPort) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all[name] = address
+	return nil
+}
+
+func (r *registry) Addresses(context.Context) (map[string]netip.AddrPort, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make(map[string]netip.AddrPort, len(r.all))
+	for name, address := range r.all {
+		all[name] = address
+	}
+	return all, nil
+}
+
+type member struct {
+	*Gossip
+
+	stop    context.CancelFunc
+	ended   chan error
+	reading bool
+}
+
+func start(t *testing.T, r *registry, name string, cores float64, reading bool) *member {
+	t.Helper()
+	var lc net.ListenConfig
+	socket, err := lc.ListenPacket(t.Context(), "udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := netip.MustParseAddrPort(socket.LocalAddr().String())
+	assert.NilError(t, socket.Close())
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	g := New()
+	m := &member{Gossip: g, ended: make(chan error, 1), reading: reading}
+	g.Self, g.Region, g.Address, g.Cores, g.Registry, g.Log = name, "east", address, cores, r, log
+	g.Pool, g.Crashes = &pool.Pool{Domain: "d1", Region: "east"}, &crash.Table{Log: log}
+	g.Pool.Put(pool.Server{ID: "s1", Service: "model", Region: "east", Domain: "d1", Slots: 8}, time.Now())
+	g.Pool.Started = g.Started
+	g.Budget = &budget.Shared{Ratio: 0.2, Extra: 10, Window: 10 * time.Second, Hosts: g.Hosts, Others: g.Sends, Now: ticks.Now}
+	g.IsReading = func() bool { return m.reading }
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	go func() { m.ended <- g.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-m.ended)
+	})
+	return m
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func TestHostsTellEachOther(t *testing.T) {
+	r := &registry{all: make(map[string]netip.AddrPort)}
+	a, b := start(t, r, "a", 1, true), start(t, r, "b", 2, true)
+	eventually(t, "the hosts to meet", func() bool { return len(a.Names()) == 2 && len(b.Names()) == 2 })
+
+	service := &policy.Service{Name: "model", Engine: &policy.Engine{MemoryTokens: 1000}}
+	lease, err := a.Pool.Choose(pool.Ask{Service: service, Prompt: 70, Tokens: 90}, time.Now())
+	assert.NilError(t, err)
+	a.Budget.Arrived("model")
+	load := func(m *member) pool.Load {
+		for _, l := range m.Pool.Snapshot() {
+			return l
+		}
+		return pool.Load{}
+	}
+	eventually(t, "b to know a's load", func() bool { return load(b) == pool.Load{Runs: 1, Tokens: 90, Pending: 70} })
+	eventually(t, "b to know a's counts", func() bool {
+		c, heard := b.Sends("model")
+		return heard == 1 && c.Arrivals == 1
+	})
+	lease.End()
+	eventually(t, "b to know that it ended", func() bool { return load(b) == pool.Load{} })
+
+	eventually(t, "the larger host to read", func() bool {
+		host, ok := a.Reader()
+		_, other := b.Reader()
+		return ok && host.Name == "b" && !other && b.IsFirst() && !a.IsFirst()
+	})
+	assert.Equal(t, a.Hosts(), 2)
+}
+
+func TestLoadOfASilentHostIsDropped(t *testing.T) {
+	g := New()
+	g.Self, g.Log = "a", slog.New(slog.NewTextHandler(io.Discard, nil))
+	g.Pool, g.Crashes = &pool.Pool{}, &crash.Table{Log: g.Log}
+	g.Pool.Put(pool.Server{ID: "s1", Service: "model", Slots: 8}, time.Now())
+	from := netip.MustParseAddrPort("127.0.0.1:1")
+	tell := func(incarnation int64, sequence uint64, runs int) {
+		g.take(Digest{Host: "b", Incarnation: incarnation, Sequence: sequence, Loads: []ServerLoad{{Server: "s1", Runs: runs}}}, from)
+	}
+	runs := func() int {
+		for _, l := range g.Pool.Snapshot() {
+			return l.Runs
+		}
+		return -1
+	}
+	tell(5, 2, 3)
+	tell(5, 1, 9)
+	tell(4, 7, 9)
+	assert.Equal(t, runs(), 3, "older digests don't count")
+	tell(6, 1, 1)
+	assert.Equal(t, runs(), 1, "a new incarnation does")
+	g.peers["b"].heard = time.Now().Add(-2 * silentAfter)
+	g.expire()
+	assert.Equal(t, runs(), 0)
+	assert.Equal(t, g.Hosts(), 2, "a silent host keeps its part of divided budgets for a while")
+}
+
+func TestColdShare(t *testing.T) {
+	members := func(n int) []*Gossip {
+		var all []*Gossip
+		name := func(i int) string { return string(rune('a'+i/26)) + string(rune('a'+i%26)) }
+		for i := range n {
+			g := New()
+			g.Self, g.Log, g.peers = name(i), slog.New(slog.NewTextHandler(io.Discard, nil)), make(map[string]*peer)
+			for j := range n {
+				if j != i {
+					g.peers[name(j)] = &peer{heard: time.Now(), known: time.Now()}
+				}
+			}
+			all = append(all, g)
+		}
+		return all
+	}
+	for _, tc := range []struct {
+		hosts     int
+		perSecond float64
+	}{{1, 39}, {7, 39}, {60, 22}, {83, 22}, {83, 0.5}} {
+		sum := 0.0
+		for _, g := range members(tc.hosts) {
+			sum += g.ColdShare("server", tc.perSecond)
+		}
+		assert.Assert(t, sum <= tc.perSecond, "%d hosts take %g of %g", tc.hosts, sum, tc.perSecond)
+		if tc.perSecond >= 1 {
+			assert.Assert(t, sum >= tc.perSecond/2, "%d hosts take only %g of %g", tc.hosts, sum, tc.perSecond)
+		}
+	}
+}
