--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -32,10 +32,10 @@
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRig(t, 2)
 			resp := r.do(t, tc.ask)
-			assert.Equal(t, resp.StatusCode, tc.status)
+			assert.Equal(t, resp.status, tc.status)
 			if tc.status != http.StatusOK {
 				assert.Equal(t, len(r.reach()), 0, "a refused request must not reach a backend server")
-				assert.Equal(t, resp.Header.Get("Response-Signature"), "")
+				assert.Equal(t, resp.header.Get("Response-Signature"), "")
 			}
 		})
 	}
@@ -53,11 +53,11 @@
 		{"/open/x", http.StatusOK},
 	} {
 		resp := r.do(t, ask{path: tc.path, key: "k1"})
-		assert.Equal(t, resp.StatusCode, tc.status, tc.path)
+		assert.Equal(t, resp.status, tc.status, tc.path)
 	}
 	r.SetKeyAge(time.Hour)
 	r.Tables.Confirm(ticks.Now())
-	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).StatusCode, http.StatusOK)
+	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).status, http.StatusOK)
 }
 
 func TestRequestIsForwardedUnchanged(t *testing.T) {
@@ -69,11 +69,11 @@
 			"Expected-Instance": "other", "Request-Priority": "0", "X-Own": "kept", "Connection": "X-Hop", "X-Hop": "dropped",
 		},
 	})
-	assert.Equal(t, resp.StatusCode, http.StatusOK)
-	body, err := text(resp)
-	assert.NilError(t, err)
+	assert.Equal(t, resp.status, http.StatusOK)
+	assert.NilError(t, resp.err)
+	body := resp.text
 	assert.Equal(t, body, "answer to "+attempt)
-	assert.Equal(t, resp.Header.Get("Response-Signature"), "s1")
+	assert.Equal(t, resp.header.Get("Response-Signature"), "s1")
 	got := r.reach()
 	assert.Equal(t, len(got), 1)
 	q := got[0]
@@ -82,8 +82,17 @@
 	assert.Equal(t, q.Host, "h.example")
 	assert.Equal(t, q.Text, "the body")
 	for _, header := range []struct{ name, want string }{
-		{"Attempt-Id", attempt}, {"Tenant", "w1"}, {"Expected-Instance", "b"}, {"X-Own", "kept"},
-		{"Key", ""}, {"Kv-From", ""}, {"Kv-Backup", ""}, {"Retention", ""}, {"Pin-Ms", ""}, {"Request-Priority", ""}, {"X-Hop", ""},
+		{"Attempt-Id", attempt},
+		{"Tenant", "w1"},
+		{"Expected-Instance", "b"},
+		{"X-Own", "kept"},
+		{"Key", ""},
+		{"Kv-From", ""},
+		{"Kv-Backup", ""},
+		{"Retention", ""},
+		{"Pin-Ms", ""},
+		{"Request-Priority", ""},
+		{"X-Hop", ""},
 	} {
 		assert.Equal(t, q.Header.Get(header.name), header.want, header.name)
 	}
@@ -96,11 +105,11 @@
 	r := newRig(t, 2)
 	r.Pool.SetEvacuated([]string{"d1"})
 	resp := r.do(t, ask{path: "/read/x", key: "k1"})
-	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
-	assert.Assert(t, resp.Header.Get("Retry-After") != "")
+	assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.header.Get("Retry-After") != "")
 	r.Pool.SetEvacuated(nil)
 	r.put(1, true)
-	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).status, http.StatusServiceUnavailable)
 	assert.Equal(t, len(r.reach()), 0)
 }
 
@@ -108,15 +117,15 @@
 	r := newRig(t, 2)
 	r.StopAt(time.Now().Add(3 * time.Second))
 	long := ask{method: http.MethodPost, path: "/report/x", key: "k1", headers: map[string]string{"Token-Usage": "100,4000"}}
-	assert.Equal(t, r.do(t, long).StatusCode, http.StatusServiceUnavailable)
-	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).StatusCode, http.StatusOK)
+	assert.Equal(t, r.do(t, long).status, http.StatusServiceUnavailable)
+	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).status, http.StatusOK)
 	r.StopAt(time.Now().Add(time.Second))
-	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).status, http.StatusServiceUnavailable)
 }
 
 func TestQuarantinedRequestReachesNoServer(t *testing.T) {
 	r := newRig(t, 2)
 	r.guard.barred = true
-	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).status, http.StatusServiceUnavailable)
 	assert.Equal(t, len(r.reach()), 0)
 }
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -139,12 +139,21 @@
 
 const attempt = "a1b2"
 
-func (r *rig) do(t *testing.T, a ask) *http.Response {
+// reply is an answer that was read to its end; err tells that it broke before.
+type reply struct {
+	status int
+	header http.Header
+	text   string
+	err    error
+}
+
+func (r *rig) do(t *testing.T, a ask) reply {
 	t.Helper()
 	resp, err := r.try(t.Context(), a)
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = resp.Body.Close() })
-	return resp
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(body), err}
 }
 
 func (r *rig) try(ctx context.Context, a ask) (*http.Response, error) {
@@ -167,12 +176,6 @@
 	return http.DefaultTransport.RoundTrip(req)
 }
 
-// text reads a whole answer; a broken one is an error.
-func text(resp *http.Response) (string, error) {
-	b, err := io.ReadAll(resp.Body)
-	return string(b), err
-}
-
 // story is the whole stream of the rig's engines.
 func story(events int) string {
 	var b strings.Builder
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -21,10 +22,10 @@
 func TestStreamIsWhole(t *testing.T) {
 	r := newRig(t, 1)
 	resp := r.do(t, streamAsk("/report/x"))
-	body, err := text(resp)
-	assert.NilError(t, err)
-	assert.Equal(t, resp.Header.Get("Content-Type"), "text/event-stream")
-	assert.Equal(t, resp.Header.Get("Response-Signature"), "s1")
+	assert.NilError(t, resp.err)
+	body := resp.text
+	assert.Equal(t, resp.header.Get("Content-Type"), "text/event-stream")
+	assert.Equal(t, resp.header.Get("Response-Signature"), "s1")
 	assert.Equal(t, body, story(20))
 }
 
@@ -32,7 +33,9 @@
 	r := newRig(t, 1)
 	r.engines[0].Pause = 100 * time.Millisecond
 	began := time.Now()
-	resp := r.do(t, streamAsk("/report/x"))
+	resp, err := r.try(t.Context(), streamAsk("/report/x"))
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
 	line, err := bufio.NewReader(resp.Body).ReadString('\n')
 	assert.NilError(t, err)
 	assert.Equal(t, line, "id: 0\n")
@@ -105,7 +108,8 @@
 					return
 				}
 				defer func() { _ = resp.Body.Close() }()
-				body, err = text(resp)
+				read, failure := io.ReadAll(resp.Body)
+				body, err = string(read), failure
 			}()
 			first := r.runsOn(t)
 			time.Sleep(200 * time.Millisecond)
@@ -156,7 +160,8 @@
 				}
 				return true
 			}
-			body, err := text(r.do(t, streamAsk("/report/x")))
+			got := r.do(t, streamAsk("/report/x"))
+			body, err := got.text, got.err
 			assert.Assert(t, err != nil, "the stream is not whole")
 			assert.Equal(t, body, tc.want)
 		})
@@ -173,7 +178,8 @@
 		_ = plat.Chunk(conn, "")
 		return true
 	}
-	body, err := text(r.do(t, streamAsk("/report/x")))
+	got := r.do(t, streamAsk("/report/x"))
+	body, err := got.text, got.err
 	assert.NilError(t, err)
 	assert.Equal(t, body, story(3))
 }
@@ -184,10 +190,10 @@
 		script     plat.Script
 		status     int
 	}{
-		{"not run, so another engine takes it", "/report/x", reply(false, http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n", nil), http.StatusOK},
+		{"not run, so another engine takes it", "/report/x", answering(false, http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n", nil), http.StatusOK},
 		{"may have run, so it is not repeated", "/report/x", func(net.Conn, *plat.Request) bool { return true }, http.StatusBadGateway},
 		{"may be resumed, so it is repeated", "/note/x", func(net.Conn, *plat.Request) bool { return true }, http.StatusOK},
-		{"failed by its engine", "/report/x", reply(false, http.StatusInternalServerError, "boom", plat.Signature, nil), http.StatusInternalServerError},
+		{"failed by its engine", "/report/x", answering(false, http.StatusInternalServerError, "boom", plat.Signature, nil), http.StatusInternalServerError},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -202,9 +208,9 @@
 				}
 			}
 			resp := r.do(t, streamAsk(tc.path))
-			assert.Equal(t, resp.StatusCode, tc.status)
-			body, err := text(resp)
-			assert.NilError(t, err)
+			assert.Equal(t, resp.status, tc.status)
+			assert.NilError(t, resp.err)
+			body := resp.text
 			if tc.status == http.StatusOK {
 				assert.Equal(t, body, story(20))
 			}
--- a/internal/front/unary_test.go
+++ b/internal/front/unary_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -14,8 +15,8 @@
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 )
 
-// reply returns a script that answers with a status, a body and headers.
-func reply(ran bool, status int, body, headers string, e **plat.Engine) plat.Script {
+// answering returns a script that answers with a status, a body and headers.
+func answering(ran bool, status int, body, headers string, e **plat.Engine) plat.Script {
 	return func(conn net.Conn, r *plat.Request) bool {
 		if ran {
 			(*e).MarkRun(r)
@@ -46,48 +47,59 @@
 		book, read want
 	}{
 		{
-			"refused as not run", reply(false, http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n", nil),
-			want{http.StatusOK, "answer to " + attempt, 2}, want{http.StatusOK, "answer to " + attempt, 2},
+			"refused as not run", answering(false, http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n", nil),
+			want{http.StatusOK, "answer to " + attempt, 2},
+			want{http.StatusOK, "answer to " + attempt, 2},
 		},
 		{
-			"another instance has the address", reply(false, http.StatusMisdirectedRequest, "", "", nil),
-			want{http.StatusOK, "answer to " + attempt, 2}, want{http.StatusOK, "answer to " + attempt, 2},
+			"another instance has the address", answering(false, http.StatusMisdirectedRequest, "", "", nil),
+			want{http.StatusOK, "answer to " + attempt, 2},
+			want{http.StatusOK, "answer to " + attempt, 2},
 		},
 		{
-			"failure of its own", reply(false, http.StatusInternalServerError, "boom", signed, nil),
-			want{http.StatusInternalServerError, "boom", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+			"failure of its own", answering(false, http.StatusInternalServerError, "boom", signed, nil),
+			want{http.StatusInternalServerError, "boom", 1},
+			want{http.StatusOK, "answer to " + attempt, 2},
 		},
 		{
-			"503 that does not say not run", reply(false, http.StatusServiceUnavailable, "busy", signed, nil),
-			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+			"503 that does not say not run", answering(false, http.StatusServiceUnavailable, "busy", signed, nil),
+			want{http.StatusBadGateway, "", 1},
+			want{http.StatusOK, "answer to " + attempt, 2},
 		},
 		{
-			"success without signature", reply(false, http.StatusOK, "forged", "", nil),
-			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+			"success without signature", answering(false, http.StatusOK, "forged", "", nil),
+			want{http.StatusBadGateway, "", 1},
+			want{http.StatusOK, "answer to " + attempt, 2},
 		},
 		{
 			"answer of another request", raw("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n" + signed + "Content-Length: 2\r\n\r\nhi"),
-			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+			want{http.StatusBadGateway, "", 1},
+			want{http.StatusOK, "answer to " + attempt, 2},
 		},
 		{
 			"truncated answer", raw("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\n" + signed + "Content-Length: 20\r\n\r\nhalf"),
-			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+			want{http.StatusBadGateway, "", 1},
+			want{http.StatusOK, "answer to " + attempt, 2},
 		},
 		{
 			"bytes that are no answer", raw("\x00\x01garbage\r\n\r\n"),
-			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+			want{http.StatusBadGateway, "", 1},
+			want{http.StatusOK, "answer to " + attempt, 2},
 		},
 		{
 			"no answer at all", raw(""),
-			want{http.StatusBadGateway, "", 1}, want{http.StatusOK, "answer to " + attempt, 2},
+			want{http.StatusBadGateway, "", 1},
+			want{http.StatusOK, "answer to " + attempt, 2},
 		},
 		{
 			"answer without length", raw("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\n" + signed + "\r\nto the end"),
-			want{http.StatusOK, "to the end", 1}, want{http.StatusOK, "to the end", 1},
+			want{http.StatusOK, "to the end", 1},
+			want{http.StatusOK, "to the end", 1},
 		},
 		{
 			"extra bytes behind the answer", raw("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\n" + signed + "Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n"),
-			want{http.StatusOK, "ok", 1}, want{http.StatusOK, "ok", 1},
+			want{http.StatusOK, "ok", 1},
+			want{http.StatusOK, "ok", 1},
 		},
 	}
 	for _, tc := range tests {
@@ -107,9 +119,9 @@
 					}
 				}
 				resp := r.do(t, ask{method: http.MethodPost, path: kind.path, key: "k1", body: "b"})
-				body, err := text(resp)
-				assert.NilError(t, err)
-				assert.Equal(t, resp.StatusCode, kind.want.status, body)
+				assert.NilError(t, resp.err)
+				body := resp.text
+				assert.Equal(t, resp.status, kind.want.status, body)
 				if kind.want.body != "" {
 					assert.Equal(t, body, kind.want.body)
 				}
@@ -123,9 +135,9 @@
 	r := newRig(t, 4)
 	r.refuse = true
 	for _, i := range []int{1, 3} {
-		r.engines[i].Script = reply(false, http.StatusInternalServerError, "boom", plat.Signature, nil)
+		r.engines[i].Script = answering(false, http.StatusInternalServerError, "boom", plat.Signature, nil)
 	}
-	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).StatusCode, http.StatusInternalServerError)
+	assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).status, http.StatusInternalServerError)
 	assert.Equal(t, len(r.reach()), 1)
 }
 
@@ -133,7 +145,7 @@
 	r := newRig(t, 4)
 	r.engines[1].Crash()
 	for range 3 {
-		assert.Equal(t, r.do(t, ask{method: http.MethodPost, path: "/book/x", key: "k1", body: "b"}).StatusCode, http.StatusOK)
+		assert.Equal(t, r.do(t, ask{method: http.MethodPost, path: "/book/x", key: "k1", body: "b"}).status, http.StatusOK)
 	}
 }
 
@@ -142,7 +154,7 @@
 	r.engines[1].Delay = 5 * time.Second
 	began := time.Now()
 	resp := r.do(t, ask{path: "/read/x", key: "k1"})
-	assert.Equal(t, resp.StatusCode, http.StatusGatewayTimeout, "it may have run")
+	assert.Equal(t, resp.status, http.StatusGatewayTimeout, "it may have run")
 	took := time.Since(began)
 	assert.Assert(t, took >= 600*time.Millisecond && took < 1100*time.Millisecond, took)
 }
@@ -170,7 +182,7 @@
 			go func() {
 				resp, err := r.try(ctx, ask{path: tc.path, key: "k1", headers: headers})
 				if err == nil {
-					_, _ = text(resp)
+					_, _ = io.Copy(io.Discard, resp.Body)
 					_ = resp.Body.Close()
 				}
 			}()
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -65,7 +65,7 @@
 	t.Cleanup(func() {
 		cancel()
 		stop()
-		<-h.ended
+		assert.NilError(t, <-h.ended)
 	})
 	w.hosts = append(w.hosts, h)
 }
