--- a/internal/cmds/dev.go
+++ b/internal/cmds/dev.go
@@ -64,7 +64,10 @@
 		fmt.Fprintf(out, "%-12s callers %s  operators %s\n", domain, v.Callers[i], v.Operators[i])
 	}
 	if c.opts.try {
-		return v.Try(ready, out)
+		if err := v.Try(ready, out); err != nil {
+			return err
+		}
+		return devel.TryPlatform(ready, out, newLogger(cmd.ErrOrStderr(), level))
 	}
 	fmt.Fprintf(out, "curl -N -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"prompt\":%q,\"stream\":true}' http://%s/v1/completions\n",
 		devel.CallerKey, d.Model, d.Prompt, v.Callers[0])
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -106,7 +106,7 @@
 // The parts of an engine's memory that may be in use together with a copy.
 const (
 	// StandingRoom leaves memory for runs that start while a copy stands by.
-	StandingRoom = 0.6
+	StandingRoom = 0.35
 	// MovingRoom suffices for a run that goes on at its copy at once.
 	MovingRoom = 0.95
 )
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -13,12 +13,8 @@
 	"github.com/tarragonspur/tarragonspur/internal/town"
 )
 
-const (
-	// callerPause is the mean time between two requests of one caller.
-	callerPause = 60 * time.Millisecond
-	// patience is how long a caller waits.
-	patience = 4 * time.Second
-)
+// callerPause is the mean time between two requests of one caller.
+const callerPause = 60 * time.Millisecond
 
 // caller sends one request after the other over connections that it keeps as long as the hosts do.
 type caller struct {
@@ -45,7 +41,7 @@
 // ask sends one request and returns what came of it.
 func (c *caller) ask(ctx context.Context, client *http.Client, host *process, kind, id string) outcome {
 	o := outcome{kind: kind, id: id, at: time.Now()}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), patience)
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), town.Patience)
 	defer cancel()
 	method := http.MethodGet
 	if kind != town.ReadPath {
@@ -59,12 +55,7 @@
 	req.Host = town.Host
 	// The transport must not repeat a request by itself.
 	req.GetBody = nil
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Key", town.Key)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
-	if kind == town.ReportPath {
-		req.Header.Set("Token-Usage", "500,4000")
-	}
+	req.Header = town.CallerHeader(id, kind)
 	resp, err := client.Do(req)
 	if err != nil {
 		o.err = err
--- a/internal/town/town.go
+++ b/internal/town/town.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -19,6 +20,8 @@
 const (
 	// Host is the name that callers ask for.
 	Host = "town.example"
+	// Patience is how long a caller waits.
+	Patience = 4 * time.Second
 	// Key is a caller's key.
 	Key    = "town-key"
 	domain = "d1"
@@ -132,6 +135,15 @@
 	})
 }
 
+// CallerHeader returns what a caller of the town sends with one attempt.
+func CallerHeader(attempt, path string) http.Header {
+	h := http.Header{"Attempt-Id": {attempt}, "Key": {Key}, "Deadline-Ms": {fmt.Sprint(Patience.Milliseconds())}}
+	if path == ReportPath {
+		h.Set("Token-Usage", "500,4000")
+	}
+	return h
+}
+
 // Settings returns the settings of an entry host with addresses of its own; store is where it finds the store.
 func Settings(ctx context.Context, i int, store netip.AddrPort) (config.Settings, error) {
 	s := config.Default()
