--- a/internal/fakes/plat/store.go
+++ b/internal/fakes/plat/store.go
@@ -76,6 +76,12 @@
 // Address returns the address that the store listens on.
 func (s *Store) Address() netip.AddrPort { return netip.MustParseAddrPort(s.Listener.Addr().String()) }
 
+// Close ends the store and all calls that wait.
+func (s *Store) Close() {
+	s.SetOutage(Busy)
+	s.Server.Close()
+}
+
 // SetOutage makes the store fail, or answer again.
 func (s *Store) SetOutage(o Outage) {
 	s.mu.Lock()
