--- a/internal/devel/platform.go
+++ b/internal/devel/platform.go
@@ -12,9 +12,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
 	"github.com/tarragonspur/tarragonspur/internal/logs"
 	"github.com/tarragonspur/tarragonspur/internal/site"
-	"github.com/tarragonspur/tarragonspur/internal/town"
 )
 
 const (
--- a/internal/fakes/plat/engine.go
+++ b/internal/fakes/plat/engine.go
@@ -24,6 +24,12 @@
 	At  time.Time
 }
 
+// Attempt returns the ID of the caller's attempt.
+func (r *Request) Attempt() string { return r.Header.Get("Attempt-Id") }
+
+// GoesOn reports whether the request goes on with a run from its copy.
+func (r *Request) GoesOn() bool { return r.Header.Get("Kv-From") != "" }
+
 // Plant is what the backend servers of a deployment share: the copies of runs.
 type Plant struct {
 	mu     sync.Mutex
@@ -208,6 +214,9 @@
 // Signature is the header that marks an engine's own answer.
 const Signature = "Response-Signature: s1\r\n"
 
+// IsSigned reports whether an answer is an engine's own.
+func IsSigned(h http.Header) bool { return h.Get("Response-Signature") != "" }
+
 // Reply writes a whole answer; headers end with a line break each.
 func Reply(conn net.Conn, r *Request, status int, body, headers string) {
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
--- a/internal/flow/event.go
+++ b/internal/flow/event.go
@@ -51,9 +51,6 @@
 	}
 }
 
-// HasNext reports whether a whole event is held already, so that Next would not wait.
-func (r *Reader) HasNext() bool { return r.end() > 0 }
-
 // end returns the index behind the next event, or 0 if it is not whole yet.
 func (r *Reader) end() int {
 	from := max(r.start, r.scanned-3)
--- a/internal/front/goon.go
+++ b/internal/front/goon.go
@@ -230,7 +230,7 @@
 	by := &standby{claim: claim}
 	s.isCopying = true
 	go func() {
-		made, err := s.Copies.Copy(s.ctx, server.Address, s.ID, by.claim.Server.Address, false)
+		made, err := s.Copies.Copy(s.ctx, server.Address, s.ID, by.claim.Server.Address)
 		by.copy, by.taken = made, time.Now()
 		s.copying <- copied{standby: by, server: server.ID, err: err}
 	}()
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -70,8 +70,8 @@
 
 // Copies moves the memory of runs between backend servers.
 type Copies interface {
-	// Copy sends what a run holds to another backend server and returns the copy's name. A final copy stops the run.
-	Copy(ctx context.Context, at netip.AddrPort, run string, to netip.AddrPort, final bool) (Copy, error)
+	// Copy sends what a run holds to another backend server and returns the copy's name. The run goes on meanwhile.
+	Copy(ctx context.Context, at netip.AddrPort, run string, to netip.AddrPort) (Copy, error)
 	// Free gives up a copy that a backend server holds.
 	Free(ctx context.Context, at netip.AddrPort, name string) error
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -54,7 +54,7 @@
 		}
 		p.servers[s.ID] = e
 	}
-	e.Server, e.seen, e.lapsed = s, now, time.Time{}
+	e.Server, e.lapsed = s, time.Time{}
 	e.coldUntil = now.Add(s.Cold)
 }
 
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -42,7 +42,6 @@
 type entry struct {
 	Server
 
-	seen      time.Time
 	coldUntil time.Time
 	// lapsed is the time at which an entry that vanished beside a store outage is taken as gone; zero otherwise.
 	lapsed time.Time
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -55,8 +55,6 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
-	// Length is the length of the body in bytes, or -1 where the answer states none.
-	Length int64
 
 	conn    net.Conn
 	release func() bool
@@ -117,7 +115,7 @@
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
 			continue
 		}
-		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength}, nil
+		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
 	}
 }
 
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -13,8 +13,8 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
 	"github.com/tarragonspur/tarragonspur/internal/logs"
-	"github.com/tarragonspur/tarragonspur/internal/town"
 )
 
 // place is a town with hosts in this process.
--- a/internal/soak/book.go
+++ b/internal/soak/book.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
-	"github.com/tarragonspur/tarragonspur/internal/town"
+	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
 )
 
 // settling is the time that hosts have to notice that all is well again.
@@ -127,8 +127,8 @@
 	runs := make(map[string]int)
 	for _, e := range engines {
 		for _, r := range e.Requests() {
-			if r.Ran && r.Header.Get("Kv-From") == "" {
-				runs[r.Header.Get("Attempt-Id")]++
+			if r.Ran && !r.GoesOn() {
+				runs[r.Attempt()]++
 			}
 		}
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
-	"github.com/tarragonspur/tarragonspur/internal/town"
+	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
 )
 
 // callerPause is the mean time between two requests of one caller.
@@ -64,7 +64,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	o.status, o.body, o.err = resp.StatusCode, string(body), err
-	o.signed = resp.Header.Get("Response-Signature") != ""
+	o.signed = plat.IsSigned(resp.Header)
 	return o
 }
 
--- a/internal/soak/harm.go
+++ b/internal/soak/harm.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
-	"github.com/tarragonspur/tarragonspur/internal/town"
+	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
 )
 
 const (
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,7 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tarragonspur/tarragonspur/internal/town"
+	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
 )
 
 // ErrBroken says that a promise was broken.
