--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -82,11 +82,11 @@
 	}
 	to := func(service string) []policy.Share { return []policy.Share{{Service: service, Weight: 1}} }
 	t.SetRoutes([]*policy.Route{
-		{Name: "book", Host: "h.example", Prefix: "/book/", Services: to("mill"), Timeout: 600 * time.Millisecond, Attempts: 1},
+		{Name: "book", Host: "h.example", Prefix: "/book/", Services: to("mill"), Timeout: 600 * time.Millisecond, Attempts: 2},
 		{Name: "read", Host: "h.example", Prefix: "/read/", Kind: policy.Idempotent, Services: to("mill"), Timeout: 600 * time.Millisecond, Attempts: 2},
 		{Name: "open", Host: "h.example", Prefix: "/open/", Kind: policy.Idempotent, Services: to("mill"), Attempts: 2, Public: true},
 		{Name: "west", Host: "h.example", Prefix: "/west/", Kind: policy.Idempotent, Services: to("mill"), Attempts: 2, Regions: []string{"west"}},
-		{Name: "report", Host: "h.example", Prefix: "/report/", Kind: policy.Streaming, Services: to("model"), Timeout: 3 * time.Second, Attempts: 1},
+		{Name: "report", Host: "h.example", Prefix: "/report/", Kind: policy.Streaming, Services: to("model"), Timeout: 3 * time.Second, Attempts: 2},
 		{Name: "note", Host: "h.example", Prefix: "/note/", Kind: policy.Streaming, Services: to("model"), Timeout: 3 * time.Second, Attempts: 2, Resumable: true},
 	})
 	return t
