--- /dev/null
+++ b/pkg/config/template_test.go
@@ -0,0 +1,50 @@
+package config
+
+import (
+	"os"
+	"regexp"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// samples are values of the platform's fields.
+func samples() map[string]string {
+	return map[string]string{
+		"nodeName|json": `"edge-d1-1"`, "zone|json": `"d1"`, "region|json": `"east"`, "listen.frontend|json": `"10.1.0.19:8740"`,
+		"ip": "10.1.0.19", "internalPortRange.0": "7200", "platform.address|json": `"10.200.1.7:8742"`, "listen.ready|json": `"10.1.0.19:8749"`,
+		"zones|json": `{"d1":"east"}`, "#bounds.failClosed": "", "/bounds.failClosed": "", "bounds.revokeMs": "5000",
+		"bounds.retryBudgetRatio": "0.2", "bounds.retryMinExtra": "54", "bounds.retryWindowS": "10", "bounds.gracePeriodS": "8",
+		"limits.cpuQuota": "0.4", "limits.memoryLimitMb": "134",
+	}
+}
+
+func TestTemplateOfTheDeployment(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/settings.jsonc")
+	assert.NilError(t, err)
+	rendered := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(text), func(placeholder string) string {
+		value, known := samples()[placeholder[2:len(placeholder)-2]]
+		assert.Assert(t, known, placeholder)
+		return value
+	})
+	s, err := ParseSettings([]byte(rendered))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Peers.String(), "10.1.0.19:7200")
+	assert.Equal(t, s.Metrics.String(), "10.1.0.19:9464")
+	assert.Equal(t, time.Duration(s.Platform.KeyAge), 5*time.Second)
+	assert.Equal(t, time.Duration(s.Platform.Grace), 8*time.Second)
+	assert.Equal(t, s.Platform.MemoryMB, int64(134))
+}
+
+func TestPlatformSettingsAreChecked(t *testing.T) {
+	s := Default()
+	s.Platform = &Platform{}
+	err := s.Check()
+	assert.ErrorIs(t, err, ErrInvalid)
+	for _, path := range []string{
+		"platform.ready", "platform.regions", "platform.retry_window", "platform.grace", "platform.cores", "platform.memory_mb",
+	} {
+		assert.ErrorContains(t, err, path)
+	}
+}
