--- a/internal/fakes/plat/store.go
+++ b/internal/fakes/plat/store.go
@@ -161,8 +161,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Silent:
-		<-r.Context().Done()
-		return
+		s.stayDumb(r.Context())
+		panic(http.ErrAbortHandler)
 	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, objectsPath), "/")
 	switch {
@@ -177,6 +177,23 @@
 	}
 }
 
+// stayDumb returns when the caller is gone or the store is not silent any more.
+func (s *Store) stayDumb(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		outage, changed := s.outage, s.changed
+		s.mu.Unlock()
+		if outage != Silent {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (s *Store) create(w http.ResponseWriter, r *http.Request, kind string, isLost bool) {
 	var o object
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
