--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -20,6 +20,8 @@
 	pollPeriod = 30 * time.Millisecond
 	// stopLimit exceeds the grace period of the hosts.
 	stopLimit = 8 * time.Second
+	// lastWordsBytes is the part of a host's log that an error shows.
+	lastWordsBytes = 600
 )
 
 // process is one entry host as a process of its own.
@@ -55,8 +57,16 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
+	log, err := os.OpenFile(p.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
 	cmd := exec.Command(p.binary, "serve", "--settings", file) //nolint:noctx // ended by signals, as on the platform
-	if err := cmd.Start(); err != nil {
+	cmd.Stdout, cmd.Stderr = log, log
+	err = cmd.Start()
+	// The process has a descriptor of its own.
+	_ = log.Close()
+	if err != nil {
 		return errors.Wrap(err, "start host")
 	}
 	p.cmd, p.ended = cmd, make(chan struct{})
@@ -68,6 +78,17 @@
 	return nil
 }
 
+func (p *process) logFile() string { return filepath.Join(p.dir, "host.log") }
+
+// lastWords is the end of the host's log.
+func (p *process) lastWords() string {
+	text, err := os.ReadFile(p.logFile())
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-lastWordsBytes):])
+}
+
 // signal sends a signal to the process if it runs.
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
@@ -126,7 +147,7 @@
 		select {
 		case <-time.After(pollPeriod):
 		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "host %s is not ready", p.settings.Host)
+			return errors.Wrapf(ctx.Err(), "host %s is not ready; its log ends with %q", p.settings.Host, p.lastWords())
 		}
 	}
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -121,16 +121,19 @@
 	<-ended
 }
 
-// copy passes bytes on as the mode says.
+// copy passes bytes on as the mode says. A connection that has lost bytes stays silent in that direction for good:
+// TCP never delivers what follows a gap.
 func (p *proxy) copy(to, from net.Conn, isAnswer bool) {
 	buf := make([]byte, copyBytes)
+	hasLost := false
 	for {
 		n, err := from.Read(buf)
 		m := p.current()
 		if m == delaying {
 			time.Sleep(delay)
 		}
-		if m != silent && (m != oneWay || !isAnswer) {
+		hasLost = hasLost || n > 0 && (m == silent || m == oneWay && isAnswer)
+		if !hasLost {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -21,6 +21,7 @@
 		cause string
 	}{
 		{2, "the wait for a newer table did not follow the age at which keys are refused, so hosts refused keys on a calm day"},
+		{508, "the soak's own proxy dropped bytes in the middle of a connection and passed on what followed, so a stream lost its tail"},
 	}
 }
 
