--- a/internal/front/goon.go
+++ b/internal/front/goon.go
@@ -11,8 +11,8 @@
 	"github.com/tarragonspur/tarragonspur/internal/send"
 )
 
-// renewPause keeps failed copies on demand apart.
-const renewPause = 60 * time.Millisecond
+// copyPause keeps failed copies on demand apart.
+const copyPause = 60 * time.Millisecond
 
 // copied is the outcome of a copy on demand.
 type copied struct {
@@ -22,7 +22,7 @@
 	err    error
 }
 
-// lookAround leaves a backend server that is about to end and replaces a copy whose backend server is.
+// lookAround leaves a backend server that is about to end and forgets a copy whose backend server is.
 func (s *session) lookAround() {
 	if s.current == nil {
 		return
@@ -215,7 +215,7 @@
 // copyNow copies the run to a backend server that has room, so that it can go on there.
 func (s *session) copyNow() {
 	engine := s.service.Engine
-	if engine == nil || !engine.Moves || !s.started || s.expectedOutput() < longOutput || time.Now().Before(s.renewAfter) {
+	if engine == nil || !engine.Moves || !s.started || s.expectedOutput() < longOutput || time.Now().Before(s.copyAfter) {
 		return
 	}
 	server := s.current.lease.Server
@@ -224,7 +224,7 @@
 	claim, err := s.Pool.ChooseCopy(a, pool.MovingRoom, time.Now())
 	if err != nil {
 		s.refused = nil
-		s.renewAfter = time.Now().Add(renewPause)
+		s.copyAfter = time.Now().Add(copyPause)
 		return
 	}
 	by := &standby{claim: claim}
@@ -243,7 +243,7 @@
 		s.log.Info("copy on demand failed", "server", c.server, "to", c.standby.claim.Server.ID, "error", c.err)
 		s.refused = append(s.refused, c.standby.claim.Server.ID)
 		s.discard(c.standby)
-		s.renewAfter = time.Now().Add(renewPause)
+		s.copyAfter = time.Now().Add(copyPause)
 		return
 	}
 	s.log.Info("run copied on demand", "server", c.server, "to", c.standby.claim.Server.ID, "last_event", s.last)
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -42,8 +42,8 @@
 	isOpening bool
 	copying   chan copied
 	isCopying bool
-	// renewAfter keeps the next copy on demand away from the last one that failed.
-	renewAfter time.Time
+	// copyAfter keeps the next copy on demand away from the last one that failed.
+	copyAfter time.Time
 	// refused lists the backend servers that had no room for a copy.
 	refused []string
 	// last is the number of the newest event that was forwarded.
