fix: hosts of stand-in towns get ports that the kernel gives to nobody else

Callers always send one and hosts pass it on; the only other requests of a soak are its readiness checks, which go to ports that were free a moment before. Not seen directly: the check now prints the request's line. Hosts' ports now lie below the range of listeners on port 0.

--- a/internal/fakes/town/town.go
+++ b/internal/fakes/town/town.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
@@ -163,12 +164,26 @@
 	return s, errors.Wrap(s.Check(), "check settings")
 }
 
+// The ports of hosts lie below those that the kernel gives to listeners on port 0, so that no other listener gets one
+// between its choice and the host's start.
+const (
+	firstPort = 20000
+	ports     = 12000
+	// portTries bounds the search for a port that nobody listens on.
+	portTries = 100
+)
+
 // freeAddress returns an address on loopback that nobody listens on now.
 func freeAddress(ctx context.Context) (netip.AddrPort, error) {
-	l, err := httpd.Listen(ctx, "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
+	var failed error
+	for range portTries {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(ports)))
+		l, err := httpd.Listen(ctx, address.String())
+		if err != nil {
+			failed = err
+			continue
+		}
+		return address, errors.Wrap(l.Close(), "close listener")
 	}
-	address := netip.MustParseAddrPort(l.Addr().String())
-	return address, errors.Wrap(l.Close(), "close listener")
+	return netip.AddrPort{}, errors.Wrap(failed, "find a free port")
 }
--- a/internal/soak/book.go
+++ b/internal/soak/book.go
@@ -90,9 +90,11 @@
 			}
 		}
 	}
-	for id := range runs {
-		if !asked[id] {
-			report("an engine ran request %s, which nobody sent", id)
+	for _, e := range engines {
+		for _, r := range e.Requests() {
+			if r.Ran && !asked[r.Attempt()] {
+				report("engine %s ran request %q, %s %s of %s, which nobody sent", e.ID, r.Attempt(), r.Method, r.RequestURI, r.RemoteAddr)
+			}
 		}
 	}
 	if calmAll > 0 && float64(calmServed) < leastServed*float64(calmAll) {
