refactor: one exchange serves plain answers and streams; a digest is encoded once

Cause: the last read found the send, the reading of the head and its check written twice in front, and a digest encoded once to compare and once to send. Ruled out: counting refused copies against the backend server, which would be a change of behaviour: only plain requests count a send that was not run, as before.

--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -103,23 +103,8 @@
 	q.log.Info("stream sent", "server", lease.Server.ID, "domain", lease.Server.Domain, "backup", f.standby.server(),
 		"runs", lease.Seen.Runs, "pending", lease.Seen.Pending, "held", lease.Seen.Tokens,
 		"from_copy", s.From.Name != "", "last_event", s.LastEvent, "tokens", q.Prompt, "output_hint", q.OutputHint)
-	answer, err := send.Open(ctx, lease.Server.Address, q.outgoing(s))
+	answer, err := q.exchange(ctx, lease, s)
 	if err != nil {
-		err = q.sendFailed(ctx, lease, err)
-		q.close(f)
-		return nil, nil, err
-	}
-	reply := q.Dialect.Reply(answer.Status, answer.Header)
-	if reply.IsNotRun {
-		q.sends.Add(1)
-		answer.Close()
-		q.close(f)
-		return nil, nil, errors.Mark(errors.Newf("backend server %s did not run the request: status %d", lease.Server.ID, answer.Status), errNotRun)
-	}
-	q.ran()
-	if err := q.checkReply(answer, reply); err != nil {
-		lease.Answered(true)
-		answer.Close()
 		q.close(f)
 		return nil, nil, err
 	}
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -71,29 +71,43 @@
 	}
 	defer lease.End()
 	q.tried = append(q.tried, lease.Server.ID)
-	answer, err := send.Open(ctx, lease.Server.Address, q.outgoing(q.stamp(lease.Server.ID)))
+	answer, err := q.exchange(ctx, lease, q.stamp(lease.Server.ID))
+	if errors.Is(err, errNotRun) {
+		lease.Answered(true)
+	}
 	if err != nil {
-		return nil, q.sendFailed(ctx, lease, err)
+		return nil, err
 	}
 	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	if err != nil || len(body) > maxAnswerBytes {
+		lease.Answered(true)
+		return nil, errors.Mark(errors.Wrapf(err, "answer of %d bytes is not whole", len(body)), send.ErrBroken)
+	}
+	lease.Answered(answer.Status >= http.StatusInternalServerError)
+	return &whole{status: answer.Status, header: answer.Header, body: body, server: lease.Server.ID}, nil
+}
+
+// exchange sends the request to one backend server and reads the head of its answer, which belongs to the request
+// and to a run of it. Errors marked errNotRun leave open what they say of the backend server.
+func (q *request) exchange(ctx context.Context, lease *pool.Lease, s Stamp) (*send.Answer, error) {
+	answer, err := send.Open(ctx, lease.Server.Address, q.outgoing(s))
+	if err != nil {
+		return nil, q.sendFailed(ctx, lease, err)
+	}
 	reply := q.Dialect.Reply(answer.Status, answer.Header)
 	if reply.IsNotRun {
 		q.sends.Add(1)
-		lease.Answered(true)
+		answer.Close()
 		return nil, errors.Mark(errors.Newf("backend server %s did not run the request: status %d", lease.Server.ID, answer.Status), errNotRun)
 	}
 	q.ran()
 	if err := q.checkReply(answer, reply); err != nil {
 		lease.Answered(true)
+		answer.Close()
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-	if err != nil || len(body) > maxAnswerBytes {
-		lease.Answered(true)
-		return nil, errors.Mark(errors.Wrapf(err, "answer of %d bytes is not whole", len(body)), send.ErrBroken)
-	}
-	lease.Answered(answer.Status >= http.StatusInternalServerError)
-	return &whole{status: answer.Status, header: answer.Header, body: body, server: lease.Server.ID}, nil
+	return answer, nil
 }
 
 func (q *request) ran() {
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"reflect"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -13,7 +14,7 @@
 func (g *Gossip) send(ctx context.Context, socket *net.UDPConn) {
 	incarnation := time.Now().UnixMilli()
 	sequence := uint64(0)
-	last := ""
+	var last Digest
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
@@ -26,13 +27,8 @@
 			return
 		}
 		d := g.digest()
-		text, err := cbor.Marshal(d)
-		if err != nil {
-			g.Log.Error("digest not encoded", "error", err)
-			continue
-		}
-		if string(text) != last {
-			last = string(text)
+		if !reflect.DeepEqual(d, last) {
+			last = d
 			sequence++
 		}
 		d.Incarnation, d.Sequence = incarnation, sequence
