feat(front): runs move to engines that are reading no prompts, and wait for that within the notice

The engine that takes over is as many events behind as its opening took, and makes these again before it makes a new one; where prompts are read meanwhile each step takes twice the time. In most cases prompts were pending there when the run moved. Ruled out: the first event's time (2 cases), moves in general (those to engines without pending prompts pass unseen). What is left of the pauses are moves whose prompts came while the run caught up, and preemptions.

--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -157,7 +157,7 @@
 	}
 	a := q.ask()
 	a.Exclude, a.Beside = nil, beside
-	claim, err := q.Pool.ChooseCopy(a, pool.StandingRoom, time.Now())
+	claim, err := q.Pool.ChooseCopy(a, pool.Standby, time.Now())
 	if err != nil {
 		return nil
 	}
--- a/internal/front/goon.go
+++ b/internal/front/goon.go
@@ -11,8 +11,13 @@
 	"github.com/tarragonspur/tarragonspur/internal/send"
 )
 
-// copyPause keeps failed copies on demand apart.
-const copyPause = 60 * time.Millisecond
+const (
+	// copyPause keeps failed copies on demand apart.
+	copyPause = 60 * time.Millisecond
+	// quietWait is how long after a notice a run waits for its next backend server to have read the prompts that it is
+	// reading: these double the time between events. The shortest notices leave 1.5 s.
+	quietWait = 900 * time.Millisecond
+)
 
 // copied is the outcome of a copy on demand.
 type copied struct {
@@ -49,12 +54,19 @@
 	if s.next != nil || s.isOpening || s.isCopying || s.moves >= maxMoves {
 		return
 	}
+	if s.noticed.IsZero() {
+		s.noticed = time.Now()
+	}
 	s.dropLeavingCopy()
 	by := s.current.standby
 	if by == nil {
 		s.copyNow()
 		return
 	}
+	if time.Since(s.noticed) < quietWait && s.Pool.Pending(by.claim.Server.ID) > 0 {
+		return
+	}
+	s.noticed = time.Time{}
 	s.current.standby = nil
 	s.openAt(by, server)
 }
@@ -221,7 +233,7 @@
 	server := s.current.lease.Server
 	a := s.ask()
 	a.Exclude, a.Beside, a.Tokens = s.refused, &server, s.held()
-	claim, err := s.Pool.ChooseCopy(a, pool.MovingRoom, time.Now())
+	claim, err := s.Pool.ChooseCopy(a, pool.Move, time.Now())
 	if err != nil {
 		s.refused = nil
 		s.copyAfter = time.Now().Add(copyPause)
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -42,6 +42,8 @@
 	isOpening bool
 	copying   chan copied
 	isCopying bool
+	// noticed is when the current backend server was first seen leaving; zero otherwise.
+	noticed time.Time
 	// copyAfter keeps the next copy on demand away from the last one that failed.
 	copyAfter time.Time
 	// refused lists the backend servers that had no room for a copy.
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
 )
 
 func streamAsk(path string) ask {
@@ -134,6 +135,44 @@
 	}
 }
 
+func TestMoveWaitsForPromptsToBeRead(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// read is when the other engines have read their prompts; least and most bound the time until the move.
+		read, least, most time.Duration
+	}{
+		{"until they are read", 300 * time.Millisecond, 250 * time.Millisecond, 800 * time.Millisecond},
+		{"but not until its engine ends", time.Hour, 800 * time.Millisecond, 1300 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 5)
+			for _, e := range r.engines {
+				e.Events, e.Pause = 75, 20*time.Millisecond
+			}
+			done := make(chan error)
+			go func() {
+				resp, err := r.try(t.Context(), streamAsk("/report/x"))
+				if err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+				done <- err
+			}()
+			first := r.runsOn(t)
+			time.Sleep(100 * time.Millisecond)
+			r.Pool.SetRemote("other", map[string]pool.Load{"a": {Pending: 5000}, "c": {Pending: 5000}, "e": {Pending: 5000}})
+			noticed := time.Now()
+			r.put(r.index(first), true)
+			reader := time.AfterFunc(tc.read, func() { r.Pool.SetRemote("other", nil) })
+			defer reader.Stop()
+			eventually(t, "the run to move", func() bool { return len(r.reach()) == 2 })
+			took := time.Since(noticed)
+			assert.Assert(t, took > tc.least && took < tc.most, took)
+			assert.NilError(t, <-done)
+		})
+	}
+}
+
 func TestStreamFaults(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -43,6 +43,9 @@
 const (
 	copyDomainCost = 0.2
 	copyJitter     = 0.05
+	// copyPendingCost is the part for a millisecond of prompt reading, which doubles the time between the events of a
+	// run that goes on there at once.
+	copyPendingCost = 0.002
 )
 
 // Ask is what a request needs of a backend server.
@@ -103,17 +106,35 @@
 	return p.lease(best, Load{Runs: 1, Tokens: a.Tokens, Pending: a.Prompt}), nil
 }
 
+// Purpose says what a copy of a run is for.
+type Purpose int
+
+// The purposes of copies.
+const (
+	// Standby is a copy in case that the run breaks.
+	Standby Purpose = iota
+	// Move is a copy that the run goes on from at once.
+	Move
+)
+
 // The parts of an engine's memory that may be in use together with a copy.
 const (
-	// StandingRoom leaves memory for runs that start while a copy stands by.
-	StandingRoom = 0.35
-	// MovingRoom suffices for a run that goes on at its copy at once.
-	MovingRoom = 0.95
+	// standbyRoom leaves memory for runs that start while a copy stands by.
+	standbyRoom = 0.35
+	// moveRoom suffices for a run that goes on at its copy at once.
+	moveRoom = 0.95
 )
 
-// ChooseCopy claims the memory for a copy of a run beside the backend server that it runs on. At most a part of
-// the copy's backend server's memory is in use then.
-func (p *Pool) ChooseCopy(a Ask, room float64, now time.Time) (*Lease, error) {
+// room is the part of an engine's memory that may be in use together with the copy.
+func (u Purpose) room() float64 {
+	if u == Move {
+		return moveRoom
+	}
+	return standbyRoom
+}
+
+// ChooseCopy claims the memory for a copy of a run beside the backend server that it runs on.
+func (p *Pool) ChooseCopy(a Ask, use Purpose, now time.Time) (*Lease, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *entry
@@ -124,7 +145,7 @@
 		if !p.fits(e, a, now) || e.isSuspect(now) || e.Region != a.Beside.Region || e.ID == a.Beside.ID {
 			continue
 		}
-		if c := p.copyCost(e, a); c < lowest && usedPart(e, a) <= room {
+		if c := p.copyCost(e, a, use); c < lowest && usedPart(e, a) <= use.room() {
 			best, lowest = e, c
 		}
 	}
@@ -207,12 +228,15 @@
 }
 
 // copyCost ranks the places of a copy: free memory first, then the failure domain of the run, where copying takes
-// half the time.
-func (p *Pool) copyCost(e *entry, a Ask) float64 {
+// half the time, and for a move the prompts that are being read there.
+func (p *Pool) copyCost(e *entry, a Ask, use Purpose) float64 {
 	c := usedPart(e, a) + copyJitter*p.jitter()
 	if e.Domain != a.Beside.Domain {
 		c += copyDomainCost
 	}
+	if use == Move {
+		c += copyPendingCost * float64(e.load().Pending) / prefillTokensPerMS
+	}
 	return c
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -165,6 +165,16 @@
 	return e == nil || e.Draining
 }
 
+// Pending returns the prompt tokens that a backend server has not read yet, by all hosts as far as known.
+func (p *Pool) Pending(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.servers[id]; e != nil {
+		return e.load().Pending
+	}
+	return 0
+}
+
 // Snapshot returns every backend server with its load by all hosts.
 func (p *Pool) Snapshot() map[Server]Load {
 	p.mu.Lock()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -168,10 +168,10 @@
 	now := time.Unix(100, 0)
 	a, b, far := server("a", "d1", "east"), server("b", "d1", "east"), server("far", "d3", "west")
 	p := newPool(a, b, far)
-	l, err := p.ChooseCopy(Ask{Service: model(), Beside: &a, Tokens: 100}, StandingRoom, now)
+	l, err := p.ChooseCopy(Ask{Service: model(), Beside: &a, Tokens: 100}, Standby, now)
 	assert.NilError(t, err)
 	assert.Equal(t, l.Server.ID, "b")
-	_, err = p.ChooseCopy(Ask{Service: model(), Beside: &far, Tokens: 100}, StandingRoom, now)
+	_, err = p.ChooseCopy(Ask{Service: model(), Beside: &far, Tokens: 100}, Standby, now)
 	assert.ErrorIs(t, err, ErrNoServer)
 }
 
@@ -179,19 +179,37 @@
 	now := time.Unix(100, 0)
 	a, b := server("a", "d1", "east"), server("b", "d1", "east")
 	for _, tc := range []struct {
-		room float64
+		use  Purpose
 		used int
 		ok   bool
-	}{{StandingRoom, 3300, true}, {StandingRoom, 3500, false}, {MovingRoom, 9400, true}, {MovingRoom, 9600, false}} {
-		t.Run(fmt.Sprintf("%g of memory, %d used", tc.room, tc.used), func(t *testing.T) {
+	}{{Standby, 3300, true}, {Standby, 3500, false}, {Move, 9400, true}, {Move, 9600, false}} {
+		t.Run(fmt.Sprintf("for %d, %d used", tc.use, tc.used), func(t *testing.T) {
 			p := newPool(a, b)
 			p.SetRemote("h", map[string]Load{"b": {Tokens: tc.used}})
-			_, err := p.ChooseCopy(Ask{Service: model(), Beside: &a, Tokens: 100}, tc.room, now)
+			_, err := p.ChooseCopy(Ask{Service: model(), Beside: &a, Tokens: 100}, tc.use, now)
 			assert.Equal(t, err == nil, tc.ok)
 		})
 	}
 }
 
+func TestMovesAvoidEnginesThatReadPrompts(t *testing.T) {
+	now := time.Unix(100, 0)
+	a, b, c := server("a", "d1", "east"), server("b", "d1", "east"), server("c", "d1", "east")
+	for _, tc := range []struct {
+		name string
+		use  Purpose
+		want string
+	}{{"a standing copy goes where memory is free", Standby, "b"}, {"a move goes where no prompt is read", Move, "c"}} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPool(a, b, c)
+			p.SetRemote("h", map[string]Load{"b": {Tokens: 1000, Pending: 4000}, "c": {Tokens: 3000}})
+			l, err := p.ChooseCopy(Ask{Service: model(), Beside: &a, Tokens: 100}, tc.use, now)
+			assert.NilError(t, err)
+			assert.Equal(t, l.Server.ID, tc.want)
+		})
+	}
+}
+
 func TestRemoteLoadsAreReplaced(t *testing.T) {
 	now := time.Unix(100, 0)
 	p := newPool(server("a", "d1", "east"))
