feat(front): running streams are copied while notices of leaving engines may be missed

Hosts learned of the outage late: a reading host knows it within 0.1 s, its readers only by the age of what they got, 1.5 s later, and an answer of old age counted as a sign of life. Change: a host whose calls fail for 0.3 s tells that it reads no more; hosts without a reader take the store as away; while it is, and while the entry of an engine has vanished beside an outage, runs without a copy are copied on demand (up to 0.8 of a memory), copies older than 3 s are renewed, and all are freed when the reason ends. The rest are zones that end at once without a notice, and copies that the link has no time for.

--- a/internal/fakes/plat/engine.go
+++ b/internal/fakes/plat/engine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -196,6 +197,7 @@
 	case strings.HasPrefix(r.URL.Path, "/tarragonspur/kv-move"):
 		e.move(conn, r)
 	case strings.HasPrefix(r.URL.Path, "/tarragonspur/kv-handle/"):
+		e.Plant.free(strings.TrimPrefix(r.URL.Path, "/tarragonspur/kv-handle/"))
 		Reply(conn, r, http.StatusOK, "", "")
 	case expected != "" && expected != e.ID:
 		Reply(conn, r, http.StatusMisdirectedRequest, "", "Instance-Id: "+e.ID+"\r\n")
@@ -291,6 +293,20 @@
 	p.copies[name] = true
 }
 
+// Copies returns the number of copies that exist.
+func (p *Plant) Copies() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.copies)
+}
+
+// free gives a copy up.
+func (p *Plant) free(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.copies, func(key string, _ bool) bool { return strings.HasSuffix(key, "/"+name) })
+}
+
 // take uses a copy up; it reports false if there is none.
 func (p *Plant) take(name string) bool {
 	p.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -52,9 +52,16 @@
 	Suspect(ctx context.Context, fingerprint uint64, server string, address netip.AddrPort)
 }
 
+// Store tells what the host sees of the platform's store.
+type Store interface {
+	// IsAway reports whether notices of backend servers that end may have been missed.
+	IsAway() bool
+}
+
 // Front answers callers.
 type Front struct {
 	Decisions
+	Store   Store
 	Dialect Dialect
 	Copies  Copies
 	Budget  Budget
--- a/internal/front/goon.go
+++ b/internal/front/goon.go
@@ -17,11 +17,17 @@
 	// quietWait is how long after a notice a run waits for its next backend server to have read the prompts that it is
 	// reading: these double the time between events. The shortest notices leave 1.5 s.
 	quietWait = 900 * time.Millisecond
+	// renewAfter is the age at which a copy made as a precaution is brought up to date. Engines give copies up after
+	// some 5 s.
+	renewAfter = 3 * time.Second
 )
 
 // copied is the outcome of a copy on demand.
 type copied struct {
 	standby *standby
+	// made is the copy, and at the time at which it was made.
+	made Copy
+	at   time.Time
 	// server is the backend server that ran the stream when the copy was asked for.
 	server string
 	err    error
@@ -38,6 +44,33 @@
 		return
 	}
 	s.dropLeavingCopy()
+	if s.Store.IsAway() || s.Pool.IsDoubtful(server) {
+		s.takePrecaution()
+		return
+	}
+	s.endPrecaution()
+}
+
+// takePrecaution keeps a copy of a run whose backend server may end without a notice.
+func (s *session) takePrecaution() {
+	if s.isCopying || s.isOpening || s.next != nil {
+		return
+	}
+	by := s.current.standby
+	switch {
+	case by == nil:
+		s.copyNow(pool.Precaution)
+	case !by.taken.IsZero() && by.age() > renewAfter:
+		s.copyTo(by)
+	}
+}
+
+// endPrecaution gives up a copy that was made while notices could be missed.
+func (s *session) endPrecaution() {
+	if by := s.current.standby; by != nil && !by.taken.IsZero() && !s.isCopying {
+		s.current.standby = nil
+		s.discard(by)
+	}
 }
 
 // dropLeavingCopy forgets a copy whose backend server is about to end.
@@ -60,7 +93,7 @@
 	s.dropLeavingCopy()
 	by := s.current.standby
 	if by == nil {
-		s.copyNow()
+		s.copyNow(pool.Move)
 		return
 	}
 	if time.Since(s.noticed) < quietWait && s.Pool.Pending(by.claim.Server.ID) > 0 {
@@ -101,6 +134,7 @@
 	}
 	stamp := s.stamp(lease.Server.ID)
 	stamp.From, stamp.LastEvent = by.copy, s.lastEvent()
+	by.copy = Copy{}
 	return lease, stamp, nil
 }
 
@@ -225,39 +259,56 @@
 }
 
 // copyNow copies the run to a backend server that has room, so that it can go on there.
-func (s *session) copyNow() {
+func (s *session) copyNow(use pool.Purpose) {
 	engine := s.service.Engine
-	if engine == nil || !engine.Moves || !s.started || s.expectedOutput() < longOutput || time.Now().Before(s.copyAfter) {
+	if engine == nil || !engine.Moves || !s.started || s.isCopying || s.expectedOutput() < longOutput || time.Now().Before(s.copyAfter) {
 		return
 	}
-	server := s.current.lease.Server
 	a := s.ask()
-	a.Exclude, a.Beside, a.Tokens = s.refused, &server, s.held()
-	claim, err := s.Pool.ChooseCopy(a, pool.Move, time.Now())
+	a.Exclude, a.Beside, a.Tokens = s.refused, &s.current.lease.Server, s.held()
+	claim, err := s.Pool.ChooseCopy(a, use, time.Now())
 	if err != nil {
 		s.refused = nil
 		s.copyAfter = time.Now().Add(copyPause)
 		return
 	}
-	by := &standby{claim: claim}
+	s.copyTo(&standby{claim: claim})
+}
+
+// copyTo copies the run to a claimed place, or brings the copy there up to date.
+func (s *session) copyTo(by *standby) {
+	server := s.current.lease.Server
 	s.isCopying = true
 	go func() {
 		made, err := s.Copies.Copy(s.ctx, server.Address, s.ID, by.claim.Server.Address)
-		by.copy, by.taken = made, time.Now()
-		s.copying <- copied{standby: by, server: server.ID, err: err}
+		s.copying <- copied{standby: by, made: made, at: time.Now(), server: server.ID, err: err}
 	}()
 }
 
+// fill notes a copy that was made.
+func (c copied) fill() {
+	if c.err == nil {
+		c.standby.copy, c.standby.taken = c.made, c.at
+	}
+}
+
 // copied takes the outcome of a copy on demand.
 func (s *session) copied(c copied) {
 	s.isCopying = false
-	if c.err != nil || s.current == nil || s.current.lease.Server.ID != c.server || s.current.standby != nil {
-		s.log.Info("copy on demand failed", "server", c.server, "to", c.standby.claim.Server.ID, "error", c.err)
-		s.refused = append(s.refused, c.standby.claim.Server.ID)
-		s.discard(c.standby)
-		s.copyAfter = time.Now().Add(copyPause)
+	by := c.standby
+	to := by.claim.Server.ID
+	isRenewed := s.current != nil && s.current.standby == by
+	c.fill()
+	switch {
+	case c.err == nil && (isRenewed || s.current != nil && s.current.lease.Server.ID == c.server && s.current.standby == nil):
+		s.log.Info("run copied on demand", "server", c.server, "to", to, "last_event", s.last, "renewed", isRenewed)
+		s.current.standby = by
 		return
+	case isRenewed:
+		s.current.standby = nil
 	}
-	s.log.Info("run copied on demand", "server", c.server, "to", c.standby.claim.Server.ID, "last_event", s.last)
-	s.current.standby = c.standby
+	s.log.Info("copy on demand failed", "server", c.server, "to", to, "error", c.err)
+	s.refused = append(s.refused, to)
+	s.discard(by)
+	s.copyAfter = time.Now().Add(copyPause)
 }
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +33,8 @@
 	plant   *plat.Plant
 	guard   *guard
 	refuse  bool
+	// away is what the rig says of the store.
+	away atomic.Bool
 }
 
 // guard is a front.Guard that bars what the test says.
@@ -53,6 +56,9 @@
 	g.suspects++
 }
 
+// IsAway makes the rig a front.Store.
+func (r *rig) IsAway() bool { return r.away.Load() }
+
 // Arrived and Allow make the rig a front.Budget.
 func (r *rig) Arrived(string) {}
 
@@ -101,7 +107,7 @@
 	holder.Confirm(ticks.Now())
 	r.Front = &front.Front{
 		Decisions: front.Decisions{Tables: holder, Pool: &pool.Pool{Domain: "d1", Region: "east", Jitter: func() float64 { return 0 }}},
-		Dialect:   platform.Dialect{}, Copies: platform.Engines{}, Budget: r, Guard: r.guard, Meter: meter{},
+		Dialect:   platform.Dialect{}, Copies: platform.Engines{}, Store: r, Budget: r, Guard: r.guard, Meter: meter{},
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	for i := range engines {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -223,6 +223,7 @@
 	}
 	if s.isCopying {
 		c := <-s.copying
+		c.fill()
 		s.discard(c.standby)
 	}
 }
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -173,6 +173,92 @@
 	}
 }
 
+// withoutBackups puts a table in force whose engines make no standing copies.
+func (r *rig) withoutBackups() {
+	next := table()
+	next.Version, next.Services["model"].Engine.Backups = 2, false
+	r.Tables.Offer(next)
+}
+
+func TestCopiesArePrecautionsWhileTheStoreIsAway(t *testing.T) {
+	tests := []struct {
+		name string
+		// doubt makes the host doubt the engine that runs the stream.
+		doubt func(r *rig, e *plat.Engine)
+	}{
+		{"the store is away", func(r *rig, _ *plat.Engine) { r.away.Store(true) }},
+		{"the engine's entry vanished beside an outage", func(r *rig, e *plat.Engine) {
+			r.Pool.Remove(e.ID, time.Now().Add(time.Hour), time.Now())
+		}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 5)
+			for _, e := range r.engines {
+				e.Events, e.Pause = 60, 20*time.Millisecond
+			}
+			r.withoutBackups()
+			done := make(chan reply)
+			go func() { done <- r.do(t, streamAsk("/report/x")) }()
+			first := r.runsOn(t)
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, r.plant.Copies(), 0, "nothing is copied without a reason")
+			tc.doubt(r, first)
+			eventually(t, "a copy", func() bool { return r.plant.Copies() == 1 })
+			first.Crash()
+			resp := <-done
+			assert.NilError(t, resp.err)
+			assert.Equal(t, resp.text, story(60))
+		})
+	}
+}
+
+func TestPrecautionEndsWithItsReason(t *testing.T) {
+	r := newRig(t, 5)
+	for _, e := range r.engines {
+		e.Events, e.Pause = 60, 20*time.Millisecond
+	}
+	r.withoutBackups()
+	done := make(chan reply)
+	go func() { done <- r.do(t, streamAsk("/report/x")) }()
+	r.runsOn(t)
+	r.away.Store(true)
+	eventually(t, "a copy", func() bool { return r.plant.Copies() == 1 })
+	r.away.Store(false)
+	eventually(t, "the copy to be freed", func() bool { return r.plant.Copies() == 0 })
+	resp := <-done
+	assert.NilError(t, resp.err)
+	assert.Equal(t, resp.text, story(60))
+}
+
+func TestPrecautionIsRenewed(t *testing.T) {
+	r := newRig(t, 5)
+	var copies atomic.Int32
+	for _, e := range r.engines {
+		e.Events, e.Pause = 220, 20*time.Millisecond
+		e.Script = func(_ net.Conn, q *plat.Request) bool {
+			if strings.HasSuffix(q.URL.Path, "/kv-move") {
+				copies.Add(1)
+			}
+			return false
+		}
+	}
+	next := table()
+	next.Version, next.Services["model"].Engine.Backups = 2, false
+	next.Match("h.example", "/report/x").Timeout = 10 * time.Second
+	r.Tables.Offer(next)
+	r.away.Store(true)
+	done := make(chan reply)
+	ask := streamAsk("/report/x")
+	ask.headers["Deadline-Ms"] = "9000"
+	go func() { done <- r.do(t, ask) }()
+	resp := <-done
+	assert.NilError(t, resp.err)
+	assert.Equal(t, resp.text, story(220))
+	assert.Equal(t, copies.Load(), int32(2), "a copy is renewed after 3 s of 4.4")
+	eventually(t, "the copy to be freed", func() bool { return r.plant.Copies() == 0 })
+}
+
 func TestStreamFaults(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,7 +49,8 @@
 
 	stop    context.CancelFunc
 	ended   chan error
-	reading bool
+	// reading tells whether the host reads the store.
+	reading atomic.Bool
 }
 
 func start(t *testing.T, r *registry, name string, cores float64, reading bool) *member {
@@ -60,13 +62,14 @@
 	assert.NilError(t, socket.Close())
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	g := New()
-	m := &member{Gossip: g, ended: make(chan error, 1), reading: reading}
+	m := &member{Gossip: g, ended: make(chan error, 1)}
+	m.reading.Store(reading)
 	g.Self, g.Region, g.Address, g.Cores, g.Registry, g.Log = name, "east", address, cores, r, log
 	g.Pool, g.Crashes = &pool.Pool{Domain: "d1", Region: "east"}, &crash.Table{Log: log}
 	g.Pool.Put(pool.Server{ID: "s1", Service: "model", Region: "east", Domain: "d1", Slots: 8}, time.Now())
 	g.Pool.Started = g.Started
 	g.Budget = &budget.Shared{Ratio: 0.2, Extra: 10, Window: 10 * time.Second, Hosts: g.Hosts, Others: g.Sends, Now: ticks.Now}
-	g.IsReading = func() bool { return m.reading }
+	g.IsReading = m.reading.Load
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	go func() { m.ended <- g.Run(ctx) }()
@@ -175,3 +178,15 @@
 		}
 	}
 }
+
+func TestHostsKnowThatNobodyReadsTheStore(t *testing.T) {
+	r := &registry{all: make(map[string]netip.AddrPort)}
+	reader, other := start(t, r, "h1", 2, true), start(t, r, "h2", 1, false)
+	eventually(t, "the other host to know its reader", func() bool { return !other.IsAway() })
+	assert.Assert(t, !reader.IsAway())
+	reader.reading.Store(false)
+	began := time.Now()
+	eventually(t, "the other host to know that the store is away", other.IsAway)
+	assert.Assert(t, time.Since(began) < time.Second, "it must not wait for the age of what it knows")
+	assert.Assert(t, reader.IsAway())
+}
--- a/internal/gossip/reader.go
+++ b/internal/gossip/reader.go
@@ -24,6 +24,12 @@
 	return mirror.Host{Name: best, Address: g.peers[best].address}, true
 }
 
+// IsAway reports whether no host of this region reads the store, so that notices may have been missed.
+func (g *Gossip) IsAway() bool {
+	_, isRead := g.Reader()
+	return !isRead && !g.IsReading()
+}
+
 // IsFirst reports whether this host would be chosen of all hosts of the region that are heard.
 func (g *Gossip) IsFirst() bool {
 	g.mu.Lock()
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -115,6 +115,8 @@
 	Standby Purpose = iota
 	// Move is a copy that the run goes on from at once.
 	Move
+	// Precaution is a copy of a run whose backend server may end without a notice.
+	Precaution
 )
 
 // The parts of an engine's memory that may be in use together with a copy.
@@ -123,14 +125,20 @@
 	standbyRoom = 0.35
 	// moveRoom suffices for a run that goes on at its copy at once.
 	moveRoom = 0.95
+	// precautionRoom leaves memory for the output of all runs during an outage.
+	precautionRoom = 0.8
 )
 
 // room is the part of an engine's memory that may be in use together with the copy.
-func (u Purpose) room() float64 {
-	if u == Move {
+func (use Purpose) room() float64 {
+	switch use {
+	case Move:
 		return moveRoom
+	case Precaution:
+		return precautionRoom
+	default:
+		return standbyRoom
 	}
-	return standbyRoom
 }
 
 // ChooseCopy claims the memory for a copy of a run beside the backend server that it runs on.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -165,6 +165,14 @@
 	return e == nil || e.Draining
 }
 
+// IsDoubtful reports whether the entry of a backend server has vanished beside an outage of the store.
+func (p *Pool) IsDoubtful(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.servers[id]
+	return e != nil && !e.lapsed.IsZero()
+}
+
 // Pending returns the prompt tokens that a backend server has not read yet, by all hosts as far as known.
 func (p *Pool) Pending(id string) int {
 	p.mu.Lock()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -182,7 +182,7 @@
 		use  Purpose
 		used int
 		ok   bool
-	}{{Standby, 3300, true}, {Standby, 3500, false}, {Move, 9400, true}, {Move, 9600, false}} {
+	}{{Standby, 3300, true}, {Standby, 3500, false}, {Precaution, 7800, true}, {Precaution, 8000, false}, {Move, 9400, true}, {Move, 9600, false}} {
 		t.Run(fmt.Sprintf("for %d, %d used", tc.use, tc.used), func(t *testing.T) {
 			p := newPool(a, b)
 			p.SetRemote("h", map[string]Load{"b": {Tokens: tc.used}})
@@ -210,6 +210,17 @@
 	}
 }
 
+func TestEntriesThatLapseAreDoubtful(t *testing.T) {
+	now := time.Unix(100, 0)
+	a := server("a", "d1", "east")
+	p := newPool(a)
+	assert.Assert(t, !p.IsDoubtful("a"))
+	p.Remove("a", now.Add(time.Second), now)
+	assert.Assert(t, p.IsDoubtful("a") && !p.IsLeaving("a"))
+	p.Put(a, now)
+	assert.Assert(t, !p.IsDoubtful("a"), "it is back")
+}
+
 func TestRemoteLoadsAreReplaced(t *testing.T) {
 	now := time.Unix(100, 0)
 	p := newPool(server("a", "d1", "east"))
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -90,9 +90,9 @@
 	return platform.NewStore(s.Store, log)
 }
 
-func newMirror(st *platform.Store, g *gossip.Gossip, log *slog.Logger) *mirror.Mirror {
+func newMirror(st *platform.Store, g *gossip.Gossip, health *watch.Health, log *slog.Logger) *mirror.Mirror {
 	m := &mirror.Mirror{Store: st, Readers: g, Link: &mirror.Link{}, Log: log}
-	g.IsReading = func() bool { return m.IsReading(platform.KindTables) }
+	g.IsReading = func() bool { return m.IsReading(platform.KindTables) && !health.IsAway() }
 	return m
 }
 
@@ -126,11 +126,11 @@
 	return b
 }
 
-func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, t *crash.Table, m *metric.Front, log *slog.Logger) *front.Front {
+func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, t *crash.Table, g *gossip.Gossip, m *metric.Front, log *slog.Logger) *front.Front {
 	f := &front.Front{
 		Decisions: front.Decisions{Tables: h, Pool: p},
 		Dialect:   platform.Dialect{}, Copies: platform.Engines{},
-		Budget: b, Guard: t, Meter: m, Log: log,
+		Store: g, Budget: b, Guard: t, Meter: m, Log: log,
 	}
 	f.SetKeyAge(keyAge(s))
 	return f
--- a/internal/watch/health.go
+++ b/internal/watch/health.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// returnGrace is how long after the store's return entries that lapsed meanwhile may take to come back.
-const returnGrace = 2 * time.Second
+const (
+	// returnGrace is how long after the store's return entries that lapsed meanwhile may take to come back.
+	returnGrace = 2 * time.Second
+	// awayAfter is how long calls must fail until the store counts as away; a store that forgets its history breaks
+	// its connections for a moment.
+	awayAfter = 300 * time.Millisecond
+)
 
 // Health is what this host has seen of the store. The zero value has seen nothing.
 type Health struct {
@@ -38,6 +43,13 @@
 	}
 }
 
+// IsAway reports whether the store has not answered for so long that notices may have been missed.
+func (h *Health) IsAway() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failed > 0 && time.Since(h.since) >= awayAfter
+}
+
 // GoneAt returns the time at which an entry that vanished now is to be taken as gone: now, unless the store was away.
 func (h *Health) GoneAt(now time.Time) time.Time {
 	h.mu.Lock()
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -74,3 +74,14 @@
 	later := now.Add(3 * returnGrace)
 	assert.Equal(t, h.GoneAt(later), later)
 }
+
+func TestStoreIsAwayAfterAMomentOfFailures(t *testing.T) {
+	h := &Health{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	assert.Assert(t, !h.IsAway())
+	h.Note(false)
+	assert.Assert(t, !h.IsAway(), "one broken connection is no outage")
+	time.Sleep(awayAfter)
+	assert.Assert(t, h.IsAway())
+	h.Note(true)
+	assert.Assert(t, !h.IsAway())
+}
