feat(pool): requests are spread by the memory in use

Cause: up to 7 runs stood at one engine while the mean was 2.7: near the full memory, where runs are preempted (pauses of 1 to 3 s), and more than the link can copy within a notice (38 Gbit/s take 1.7 s for 31,000 tokens, twice that between failure domains). Failed copies on demand ended with their engine. Change: a full memory costs 400 ms of expected delay, in proportion; standing copies up to 0.45 of a memory, since spread runs leave no engine below 0.35.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -19,6 +19,8 @@
 	prefillTokensPerMS = 14.0
 	// runCost is the slowdown of a token by each further run of the batch over the length of an event.
 	runCost = 3.0
+	// evenCost is the cost of using all of an engine's memory.
+	evenCost = 400.0
 	// memoryFree is the part of an engine's memory that may be committed before preemption threatens.
 	memoryFree = 0.85
 	// memoryCost is the cost of committing all of an engine's memory once more.
@@ -122,7 +124,7 @@
 // The parts of an engine's memory that may be in use together with a copy.
 const (
 	// standbyRoom leaves memory for runs that start while a copy stands by.
-	standbyRoom = 0.35
+	standbyRoom = 0.45
 	// moveRoom suffices for a run that goes on at its copy at once.
 	moveRoom = 0.95
 	// precautionRoom leaves memory for the output of all runs during an outage.
@@ -209,6 +211,7 @@
 	l := e.load()
 	if engine := a.Service.Engine; engine != nil {
 		c += float64(l.Pending)/prefillTokensPerMS + runCost*float64(l.Runs)
+		c += evenCost * float64(l.Tokens) / float64(engine.MemoryTokens)
 		if over := float64(l.Tokens+a.Tokens)/float64(engine.MemoryTokens) - memoryFree; over > 0 {
 			c += memoryCost * over
 		}
