--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -47,8 +47,8 @@
 type member struct {
 	*Gossip
 
-	stop    context.CancelFunc
-	ended   chan error
+	stop  context.CancelFunc
+	ended chan error
 	// reading tells whether the host reads the store.
 	reading atomic.Bool
 }
