feat(gossip): seeds introduce hosts that start; a store that fails for one kind is left alone for all

Change: a starting host asks the deployment's seeds, which answer with all hosts that they hear; hosts that have just met tell each other at once; nobody but the host that is to read calls the store within the first second. A failed call of one kind holds back all kinds. Followers that wait for a reader look again after 80 ms instead of up to 1 s. Ruled out: dropping the registry; the seeds may be down.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -35,6 +35,14 @@
 	hostsPerPeriod = 40
 	// maxDatagram bounds a digest; larger ones would be fragmented.
 	maxDatagram = 8 << 10
+	// introPeriod is how often a host that knows nobody asks its seeds for introductions, and introAgain how often it
+	// asks another host later, in case that it has missed some.
+	introPeriod = 200 * time.Millisecond
+	introAgain  = 10 * time.Second
+	// settleTime is the time in which hosts that start together have met; readerTime is the time in which the one that is
+	// to read the store has told that it does. Hosts of a deployment start within 0.3 s of each other.
+	settleTime = 150 * time.Millisecond
+	readerTime = time.Second
 	// listPeriod is how often the registered hosts are asked for while none has been heard.
 	listPeriod = 3 * time.Second
 )
@@ -62,6 +70,15 @@
 	Reading bool `cbor:"9,keyasint,omitempty"`
 	// Sends are the counts of the retry budget.
 	Sends []ServiceSends `cbor:"10,keyasint,omitempty"`
+	// Asks asks for introductions. The answer has nothing but Known.
+	Asks  bool           `cbor:"11,keyasint,omitempty"`
+	Known []Introduction `cbor:"12,keyasint,omitempty"`
+}
+
+// Introduction is one host that another one has heard lately.
+type Introduction struct {
+	Host    string         `cbor:"1,keyasint"`
+	Address netip.AddrPort `cbor:"2,keyasint"`
 }
 
 // ServiceSends is what a host has sent to a service within the window of the retry budget.
@@ -87,6 +104,8 @@
 	// Cores is the host's processor share; hosts with more of it read the store for others.
 	Cores    float64
 	Registry Registry
+	// Seeds are hosts that introduce this one to the others; some may be stale or down.
+	Seeds []netip.AddrPort
 	// IsReading tells whether this host reads the store and can read for others.
 	IsReading func() bool
 	Pool      *pool.Pool
@@ -94,14 +113,17 @@
 	Budget    *budget.Shared
 	Log       *slog.Logger
 
-	// started is signalled when this host has sent a request, which the others have to know before they send theirs.
+	// started is signalled when this host has sent a request, which the others have to know before they send theirs, and
+	// when it has met a host.
 	started chan struct{}
 
 	mu      sync.Mutex
 	peers   map[string]*peer
 	leaving bool
-	// listed tells that the registry has been read.
-	listed bool
+	// listed tells that the registry has been read, introduced that a host has introduced the others.
+	listed, introduced bool
+	// began is when this host started; it is never changed.
+	began time.Time
 }
 
 // peer is another host.
@@ -127,9 +149,9 @@
 func (g *Gossip) Name() string { return "gossip" }
 
 // New returns a gossip whose other fields are to be set before Run.
-func New() *Gossip { return &Gossip{started: make(chan struct{}, 1)} }
+func New() *Gossip { return &Gossip{started: make(chan struct{}, 1), began: time.Now()} }
 
-// Started says that this host has just sent a request to a backend server.
+// Started says that the others are to be told at once: this host has sent a request to a backend server or met a host.
 func (g *Gossip) Started() {
 	select {
 	case g.started <- struct{}{}:
@@ -148,19 +170,29 @@
 	if !ok {
 		return errors.Newf("listener on %s is no UDP socket", g.Address)
 	}
-	ended := make(chan struct{}, 2)
-	go func() { g.receive(socket); ended <- struct{}{} }()
-	go func() { g.find(ctx); ended <- struct{}{} }()
+	works := []func(){
+		func() { g.receive(socket) },
+		func() { g.find(ctx) },
+		func() { g.ask(ctx, socket) },
+	}
+	ended := make(chan struct{}, len(works))
+	for _, work := range works {
+		go func() { work(); ended <- struct{}{} }()
+	}
 	g.send(ctx, socket)
 	_ = socket.Close()
-	<-ended
-	<-ended
+	for range works {
+		<-ended
+	}
 	return nil
 }
 
 // find registers this host and learns of the others.
 func (g *Gossip) find(ctx context.Context) {
 	registered := false
+	if len(g.Seeds) > 0 {
+		pause(ctx, settleTime)
+	}
 	for ctx.Err() == nil {
 		if !registered {
 			err := g.Registry.Register(ctx, g.Self, g.Address)
@@ -169,15 +201,19 @@
 				g.Log.Info("host not registered yet", "error", err)
 			}
 		}
-		if registered && (!g.isListed() || g.heardNone()) {
+		if registered && (!g.knowsOthers() || g.heardNone()) {
 			g.list(ctx)
 		}
-		timer := time.NewTimer(time.Duration((0.75 + rand.Float64()/2) * float64(listPeriod)))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		pause(ctx, time.Duration((0.75+rand.Float64()/2)*float64(listPeriod)))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -207,15 +243,18 @@
 		p = &peer{known: time.Now()}
 		g.peers[name] = p
 		g.Log.Info("host met", "host", name, "address", address)
+		// It is told of this host at once.
+		g.Started()
 	}
 	p.address = address
 	return p
 }
 
-func (g *Gossip) isListed() bool {
+// knowsOthers reports whether this host has learned of the others, from one of them or from the store.
+func (g *Gossip) knowsOthers() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.listed
+	return g.listed || g.introduced
 }
 
 func (g *Gossip) heardNone() bool {
@@ -278,6 +317,13 @@
 			g.Log.Debug("datagram skipped", "from", from, "bytes", n, "error", err)
 			continue
 		}
+		switch {
+		case len(d.Known) > 0:
+			g.meetAll(d.Known)
+			continue
+		case d.Asks:
+			g.introduce(socket, from)
+		}
 		g.take(d, from)
 	}
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -53,7 +54,7 @@
 	reading atomic.Bool
 }
 
-func start(t *testing.T, r *registry, name string, cores float64, reading bool) *member {
+func start(t *testing.T, r Registry, name string, cores float64, reading bool, seeds ...netip.AddrPort) *member {
 	t.Helper()
 	var lc net.ListenConfig
 	socket, err := lc.ListenPacket(t.Context(), "udp4", "127.0.0.1:0")
@@ -69,7 +70,7 @@
 	g.Pool.Put(pool.Server{ID: "s1", Service: "model", Region: "east", Domain: "d1", Slots: 8}, time.Now())
 	g.Pool.Started = g.Started
 	g.Budget = &budget.Shared{Ratio: 0.2, Extra: 10, Window: 10 * time.Second, Hosts: g.Hosts, Others: g.Sends, Now: ticks.Now}
-	g.IsReading = m.reading.Load
+	g.IsReading, g.Seeds = m.reading.Load, seeds
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	go func() { m.ended <- g.Run(ctx) }()
@@ -190,3 +191,40 @@
 	assert.Assert(t, time.Since(began) < time.Second, "it must not wait for the age of what it knows")
 	assert.Assert(t, reader.IsAway())
 }
+
+// away is a Registry that can't be reached.
+type away struct{}
+
+func (away) Register(context.Context, string, netip.AddrPort) error {
+	return errors.New("store is away")
+}
+
+func (away) Addresses(context.Context) (map[string]netip.AddrPort, error) {
+	return nil, errors.New("store is away")
+}
+
+func TestSeedsIntroduceHostsWhileTheStoreIsAway(t *testing.T) {
+	stale := netip.MustParseAddrPort("127.0.0.1:1")
+	seed := start(t, away{}, "seed", 1, true)
+	one := start(t, away{}, "one", 1, false, stale, seed.Address)
+	other := start(t, away{}, "other", 1, false, stale, seed.Address)
+	for _, m := range []*member{seed, one, other} {
+		eventually(t, "all hosts to know each other", func() bool { return len(m.Names()) == 3 && m.Hosts() == 3 })
+	}
+	eventually(t, "the reader to be known", func() bool {
+		h, ok := other.Reader()
+		return ok && h.Name == "seed"
+	})
+}
+
+func TestHostsThatStartTogetherReadOnceTheyHaveMet(t *testing.T) {
+	r := &registry{all: make(map[string]netip.AddrPort)}
+	seed := start(t, r, "seed", 1, false)
+	assert.Assert(t, seed.MayRead(), "a host without seeds waits for nobody")
+	large := start(t, r, "large", 2, false, seed.Address)
+	small := start(t, r, "small", 1, false, seed.Address)
+	assert.Assert(t, !large.MayRead() && !small.MayRead(), "they have not met yet")
+	eventually(t, "the largest host to read", large.MayRead)
+	assert.Assert(t, !small.MayRead(), "another host is to read for it")
+	eventually(t, "the smaller host to read where nobody does", small.MayRead)
+}
--- a/internal/gossip/reader.go
+++ b/internal/gossip/reader.go
@@ -37,6 +37,20 @@
 	return g.best(true, func(*peer) bool { return true }) == g.Self
 }
 
+// MayRead reports whether this host may read the store without a host that reads for it. Hosts that start together wait
+// until they have met, so that only those that are to read for the others do.
+func (g *Gossip) MayRead() bool {
+	since := time.Since(g.began)
+	switch {
+	case len(g.Seeds) == 0 || since > readerTime:
+		return true
+	case since < settleTime:
+		return false
+	default:
+		return g.IsFirst()
+	}
+}
+
 // best returns the host with the largest processor share of those that may be chosen; the caller holds the lock.
 func (g *Gossip) best(mayBeSelf bool, may func(*peer) bool) string {
 	best, cores := "", 0.0
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -58,6 +58,8 @@
 	Reader() (Host, bool)
 	// IsFirst reports whether this host is the one to read of those that are heard, whether they reach the store or not.
 	IsFirst() bool
+	// MayRead reports whether this host may read the store while no other host reads it for this one.
+	MayRead() bool
 	// Hosts returns the number of hosts that share the store's rate.
 	Hosts() int
 }
@@ -74,14 +76,14 @@
 	kinds map[string]*cache
 	// avoid holds until when a host that failed is not asked again.
 	avoid map[string]time.Time
-	// failed holds for each kind when the store last failed to answer this host.
-	failed map[string]time.Time
+	// failed is when the store last failed to answer this host, whatever it was asked for; zero if it has answered since.
+	failed time.Time
 }
 
 const (
 	// avoidFor is how long a host that failed to answer is not asked again.
 	avoidFor = 500 * time.Millisecond
-	// hostsPerSecond is the number of hosts that may call a failing store in one second, for each kind.
+	// hostsPerSecond is the number of hosts that may call a failing store in one second.
 	hostsPerSecond = 15
 	// maxPause bounds the time between two calls of one host to a failing store.
 	maxPause = 4 * time.Second
@@ -92,12 +94,12 @@
 	if b, err := m.ask(ctx, kind, 0, 0); err == nil {
 		return b, nil
 	}
-	if m.isHeldBack(kind) {
+	if !m.Readers.MayRead() || m.isHeldBack() {
 		return Batch{}, ErrNotReading
 	}
 	began := ticks.Now()
 	b, err := m.Store.List(ctx, kind)
-	m.note(kind, err)
+	m.note(err)
 	if err == nil {
 		m.cache(kind).replace(b, began)
 	}
@@ -105,27 +107,24 @@
 }
 
 // isHeldBack reports whether this host leaves a failing store alone for now. The host that is to read tries on.
-func (m *Mirror) isHeldBack(kind string) bool {
+func (m *Mirror) isHeldBack() bool {
 	if m.Readers.IsFirst() {
 		return false
 	}
 	pause := min(maxPause, time.Duration(m.Readers.Hosts())*time.Second/hostsPerSecond)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Since(m.failed[kind]) < pause
+	return time.Since(m.failed) < pause
 }
 
 // note keeps when a call of the store failed.
-func (m *Mirror) note(kind string, err error) {
+func (m *Mirror) note(err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.failed == nil {
-		m.failed = make(map[string]time.Time)
-	}
 	if err == nil || errors.Is(err, ErrHistoryGone) {
-		delete(m.failed, kind)
+		m.failed = time.Time{}
 	} else {
-		m.failed[kind] = time.Now()
+		m.failed = time.Now()
 	}
 }
 
@@ -139,12 +138,12 @@
 		// This host has become the one that reads for others, which need all documents.
 		return Batch{}, ErrHistoryGone
 	}
-	if m.isHeldBack(kind) {
+	if m.isHeldBack() {
 		return Batch{}, ErrNotReading
 	}
 	began := ticks.Now()
 	b, err = m.Store.Changes(ctx, kind, since, wait)
-	m.note(kind, err)
+	m.note(err)
 	switch {
 	case err == nil:
 		m.cache(kind).apply(b, since, began)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -37,6 +38,8 @@
 	host *Host
 	// second tells that another host is the one to read.
 	second bool
+	// early tells that the hosts have not met yet.
+	early bool
 }
 
 func (r *reads) Reader() (Host, bool) {
@@ -48,6 +51,8 @@
 
 func (r *reads) IsFirst() bool { return r.host == nil && !r.second }
 
+func (r *reads) MayRead() bool { return !r.early }
+
 func (r *reads) Hosts() int { return 60 }
 
 func newMirror(st Store, r Readers) *Mirror {
@@ -183,6 +188,7 @@
 	}{
 		{"a host that another one reads for", &reads{host: &gone}, 1},
 		{"a host that another one is to read for", &reads{second: true}, 1},
+		{"a host that has not met the others", &reads{early: true}, 0},
 		{"the host that is to read", &reads{}, 5},
 	}
 	for _, tc := range tests {
@@ -190,8 +196,9 @@
 			store := &book{err: errors.New("down")}
 			m := newMirror(store, tc.reads)
 			t.Cleanup(m.Link.Close)
-			for range 5 {
-				_, err := m.List(t.Context(), "k")
+			// A store that fails for one kind is left alone for all.
+			for i := range 5 {
+				_, err := m.List(t.Context(), fmt.Sprint("k", i))
 				assert.Assert(t, err != nil)
 			}
 			assert.Equal(t, store.calls, tc.calls)
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -112,6 +112,9 @@
 	g := gossip.New()
 	g.Self, g.Region, g.Address, g.Cores = s.Host, s.Region, s.Peers, s.Platform.Cores
 	g.Registry, g.Pool, g.Crashes, g.Log = platform.Hosts{Store: st}, p, t, log
+	for _, seed := range s.Platform.Seeds {
+		g.Seeds = append(g.Seeds, netip.AddrPortFrom(seed.Addr(), s.Peers.Port()))
+	}
 	p.Started = g.Started
 	p.ColdShare = func(server string, perSecond float64) float64 { return g.ColdShare(server, coldMargin*perSecond) }
 	return g
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -19,6 +19,8 @@
 	// retryFirst and retryMax bound the pause after a failed call; the store's rate is shared by all hosts.
 	retryFirst = 100 * time.Millisecond
 	retryMax   = time.Second
+	// readerPause is the pause after a call that waits for another host to read the store; it costs the store nothing.
+	readerPause = 80 * time.Millisecond
 	// answerSlack is added to a watch's wait for the time that an answer takes.
 	answerSlack = 2 * time.Second
 	// listTimeout bounds a full list.
@@ -87,6 +89,9 @@
 		case errors.Is(err, mirror.ErrHistoryGone):
 			f.Log.Info("store history gone", "kind", f.Kind, "revision", revision)
 			next = 0
+		case errors.Is(err, mirror.ErrNotReading):
+			next, pause = revision, readerPause
+			f.Log.Debug("no host reads", "kind", f.Kind, "revision", revision)
 		case err != nil:
 			next, pause = revision, pauses.NextBackOff()
 			f.Log.Info("store call failed", "kind", f.Kind, "revision", revision, "error", err, "retry_in", pause)
--- a/pkg/config/platform.go
+++ b/pkg/config/platform.go
@@ -18,6 +18,9 @@
 	RetryWindow Duration `json:"retry_window"`
 	// Grace is the time from the signal to stop to the process's end.
 	Grace Duration `json:"grace"`
+	// Seeds are addresses of hosts that introduce a starting host to the others; some may be stale or down. Only their IP
+	// addresses count: the hosts of a deployment share the port of `peers`.
+	Seeds []netip.AddrPort `json:"seeds,omitempty"`
 	// Cores is the processor share of the host; hosts with more of it read the store for the others.
 	Cores float64 `json:"cores"`
 	// MemoryMB is the memory that the process may use.
--- a/pkg/config/template_test.go
+++ b/pkg/config/template_test.go
@@ -16,7 +16,7 @@
 		"ip": "10.1.0.19", "internalPortRange.0": "7200", "platform.address|json": `"10.200.1.7:8742"`, "listen.ready|json": `"10.1.0.19:8749"`,
 		"zones|json": `{"d1":"east"}`, "#bounds.failClosed": "", "/bounds.failClosed": "", "bounds.revokeMs": "5000",
 		"bounds.retryBudgetRatio": "0.2", "bounds.retryMinExtra": "54", "bounds.retryWindowS": "10", "bounds.gracePeriodS": "8",
-		"limits.cpuQuota": "0.4", "limits.memoryLimitMb": "134",
+		"seedNodes": `["10.1.0.19:8748","10.2.0.13:8748"]`, "seedNodes|json": `["10.1.0.19:8748","10.2.0.13:8748"]`, "limits.cpuQuota": "0.4", "limits.memoryLimitMb": "134",
 	}
 }
 
@@ -35,6 +35,7 @@
 	assert.Equal(t, time.Duration(s.Platform.KeyAge), 5*time.Second)
 	assert.Equal(t, time.Duration(s.Platform.Grace), 8*time.Second)
 	assert.Equal(t, s.Platform.MemoryMB, int64(134))
+	assert.Equal(t, len(s.Platform.Seeds), 2)
 }
 
 func TestPlatformSettingsAreChecked(t *testing.T) {
