fix(watch): a host that finds a new reader reads at once, and counts as deaf until it has

Change: a follower's pause ends when a host begins to read for this one, and the precaution lasts until the follower of backend servers is in step. Ruled out: shorter pauses; they cost calls of a failing store.

--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -51,6 +51,7 @@
 	newHolder,
 	newPool,
 	newHealth,
+	newSight,
 	newCrashes,
 	newGossip,
 	newBudget,
@@ -106,6 +107,26 @@
 
 func newHealth(log *slog.Logger) *watch.Health { return &watch.Health{Log: log} }
 
+func newSight() *watch.Sight { return &watch.Sight{} }
+
+// notices tells whether notices of backend servers that end may have been missed: by this host, or by the one that
+// reads for it.
+type notices struct {
+	gossip *gossip.Gossip
+	sight  *watch.Sight
+}
+
+// IsAway makes notices a front.Store.
+func (n notices) IsAway() bool { return n.sight.IsLost() || n.gossip.IsAway() }
+
+// readable reports whether a host reads the store for this one.
+func readable(g *gossip.Gossip) func() bool {
+	return func() bool {
+		_, ok := g.Reader()
+		return ok
+	}
+}
+
 func newCrashes(log *slog.Logger) *crash.Table { return &crash.Table{Log: log} }
 
 func newGossip(s config.Settings, st *platform.Store, p *pool.Pool, t *crash.Table, log *slog.Logger) *gossip.Gossip {
@@ -129,11 +150,11 @@
 	return b
 }
 
-func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, t *crash.Table, g *gossip.Gossip, m *metric.Front, log *slog.Logger) *front.Front {
+func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, t *crash.Table, g *gossip.Gossip, sight *watch.Sight, m *metric.Front, log *slog.Logger) *front.Front {
 	f := &front.Front{
 		Decisions: front.Decisions{Tables: h, Pool: p},
 		Dialect:   platform.Dialect{}, Copies: platform.Engines{},
-		Store: g, Budget: b, Guard: t, Meter: m, Log: log,
+		Store: notices{g, sight}, Budget: b, Guard: t, Meter: m, Log: log,
 	}
 	f.SetKeyAge(keyAge(s))
 	return f
@@ -152,24 +173,25 @@
 	return min(tableWait, keyAge(s)/waitsPerKeyAge)
 }
 
-func newTables(s config.Settings, m *mirror.Mirror, h *policy.Holder, health *watch.Health, log *slog.Logger) *watch.Follower[*policy.Table] {
+func newTables(s config.Settings, m *mirror.Mirror, h *policy.Holder, health *watch.Health, g *gossip.Gossip, log *slog.Logger) *watch.Follower[*policy.Table] {
 	return &watch.Follower[*policy.Table]{
 		Kind: "table", Source: platform.Tables{Store: m, Log: log}, Sink: &watch.Tables{Holder: h, Log: log},
-		Wait: waitForTable(s), Pause: collect / 2, Health: health, Log: log,
+		Wait: waitForTable(s), Pause: collect / 2, Health: health, IsReadable: readable(g), Log: log,
 	}
 }
 
-func newServers(s config.Settings, m *mirror.Mirror, p *pool.Pool, health *watch.Health, log *slog.Logger) *watch.Follower[pool.Server] {
+func newServers(s config.Settings, m *mirror.Mirror, p *pool.Pool, health *watch.Health, sight *watch.Sight, g *gossip.Gossip, log *slog.Logger) *watch.Follower[pool.Server] {
 	return &watch.Follower[pool.Server]{
 		Kind: "backend servers", Source: platform.Servers{Store: m, Log: log, Regions: s.Platform.Regions},
-		Sink: &watch.Servers{Pool: p, Health: health, Log: log}, Wait: serversWait, Pause: collect, Health: health, Log: log,
+		Sink: &watch.Servers{Pool: p, Health: health, Log: log}, Wait: serversWait, Pause: collect, Health: health,
+		Sight: sight, IsReadable: readable(g), Log: log,
 	}
 }
 
-func newEvacuations(m *mirror.Mirror, p *pool.Pool, health *watch.Health, log *slog.Logger) *watch.Follower[string] {
+func newEvacuations(m *mirror.Mirror, p *pool.Pool, health *watch.Health, g *gossip.Gossip, log *slog.Logger) *watch.Follower[string] {
 	return &watch.Follower[string]{
 		Kind: "failure domains", Source: platform.Evacuations{Store: m}, Sink: &watch.Evacuations{Pool: p, Log: log},
-		Wait: serversWait, Pause: collect, Health: health, Log: log,
+		Wait: serversWait, Pause: collect, Health: health, IsReadable: readable(g), Log: log,
 	}
 }
 
--- a/internal/watch/health.go
+++ b/internal/watch/health.go
@@ -43,6 +43,33 @@
 	}
 }
 
+// Sight is whether one sink is in step with the store. The zero value is in step; nil takes no notes.
+type Sight struct {
+	mu   sync.Mutex
+	lost time.Time
+}
+
+func (s *Sight) note(inStep bool) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case inStep:
+		s.lost = time.Time{}
+	case s.lost.IsZero():
+		s.lost = time.Now()
+	}
+}
+
+// IsLost reports whether the sink has been out of step for so long that notices may have been missed.
+func (s *Sight) IsLost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lost.IsZero() && time.Since(s.lost) >= awayAfter
+}
+
 // IsAway reports whether the store has not answered for so long that notices may have been missed.
 func (h *Health) IsAway() bool {
 	h.mu.Lock()
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -63,7 +63,11 @@
 	Pause time.Duration
 	// Health is told of every call's outcome.
 	Health *Health
-	Log    *slog.Logger
+	// Sight is told whether the sink is in step; nil for nobody.
+	Sight *Sight
+	// IsReadable reports whether a host reads the store for this one; a pause ends when one begins to. Nil means never.
+	IsReadable func() bool
+	Log        *slog.Logger
 }
 
 // Name names the controller in logs.
@@ -79,6 +83,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		next, changed, err := f.step(ctx, revision)
+		f.Sight.note(err == nil)
 		if !errors.Is(err, mirror.ErrNotReading) {
 			f.Health.Note(err == nil || errors.Is(err, mirror.ErrHistoryGone))
 		}
@@ -106,11 +111,22 @@
 			}
 		}
 		revision = next
-		sleep(ctx, pause)
+		f.pause(ctx, pause)
 	}
 	return nil
 }
 
+// pause waits until its time is over or a host begins to read the store for this one.
+func (f *Follower[T]) pause(ctx context.Context, d time.Duration) {
+	if f.IsReadable == nil || f.IsReadable() {
+		sleep(ctx, d)
+		return
+	}
+	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end) && !f.IsReadable(); {
+		sleep(ctx, min(readerPause, time.Until(end)))
+	}
+}
+
 // step makes one call and hands on what it returned.
 func (f *Follower[T]) step(ctx context.Context, revision int64) (next int64, changed bool, err error) {
 	began := ticks.Now()
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/tarragonspur/tarragonspur/internal/mirror"
 )
@@ -85,3 +86,63 @@
 	h.Note(true)
 	assert.Assert(t, !h.IsAway())
 }
+
+// askable is a Source that another host answers once it reads.
+type askable struct {
+	reads atomic.Bool
+	calls atomic.Int32
+}
+
+func (a *askable) List(context.Context) (Batch[string], error) {
+	a.calls.Add(1)
+	if !a.reads.Load() {
+		return Batch[string]{}, errors.New("store is down")
+	}
+	return Batch[string]{Revision: 1}, nil
+}
+
+func (a *askable) Changes(ctx context.Context, _ int64, _ time.Duration) (Batch[string], error) {
+	<-ctx.Done()
+	return Batch[string]{}, ctx.Err()
+}
+
+func TestFollowerIsOutOfStepUntilItHasReadAgain(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	src, sight := &askable{}, &Sight{}
+	f := &Follower[string]{
+		Kind: "k", Source: src, Sink: sink{}, Wait: time.Minute, Health: &Health{Log: log}, Sight: sight, IsReadable: src.reads.Load, Log: log,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	// By the fifth call the pauses are near their longest.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if src.calls.Load() >= 5 && sight.IsLost() {
+			return poll.Success()
+		}
+		return poll.Continue("the follower to fail")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+	src.reads.Store(true)
+	began := time.Now()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !sight.IsLost() {
+			return poll.Success()
+		}
+		return poll.Continue("the follower to read")
+	}, poll.WithDelay(5*time.Millisecond))
+	assert.Assert(t, time.Since(began) < 300*time.Millisecond, "the pause ends when a host reads")
+	cancel()
+	assert.NilError(t, <-ended)
+}
+
+func TestFollowerThatWaitsForAReaderIsOutOfStep(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	health, sight := &Health{Log: log}, &Sight{}
+	f := &Follower[string]{
+		Kind: "k", Source: &source{err: mirror.ErrNotReading}, Sink: sink{}, Wait: time.Minute, Health: health, Sight: sight, Log: log,
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+	defer cancel()
+	assert.NilError(t, f.Run(ctx))
+	assert.Assert(t, sight.IsLost() && !health.IsAway(), "notices may be missed, but the store was not called")
+}
