feat(cause): explain tells from the hosts' logs what became of a request

Cause: an on-call engineer had to read the log by hand; the table's fields objective and gap were decoded and read by nobody, and connections, cold start, priorities and limits of headers likewise. Change: `explain ID LOG...` prints a request's lines, what its host believed of backend servers and the store, and the cause. Whole answers that miss their route's aim say so in `late`; copies that are asked for, and that find no place, have a line. Fields of the table that nothing reads are gone.

--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -56,6 +56,7 @@
 		newCapacityCmd().cmd,
 		newReplayCmd().cmd,
 		newSoakCmd().cmd,
+		newExplainCmd().cmd,
 		newVersionCmd().cmd,
 		newAdminCmd().cmd,
 	)
--- /dev/null
+++ b/internal/front/explain_test.go
@@ -0,0 +1,166 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonspur/tarragonspur/internal/cause"
+	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/watch"
+)
+
+// record is a log that a test reads.
+type record struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (r *record) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.Write(p)
+}
+
+// log makes the rig write to a record.
+func (r *rig) log() *record {
+	rec := &record{}
+	r.Log = slog.New(slog.NewTextHandler(rec, nil))
+	return rec
+}
+
+// explain returns what the record tells of the rig's request.
+func (r *record) explain(t *testing.T) cause.Case {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lines, err := cause.Read(bytes.NewReader(r.text.Bytes()), "h1", attempt)
+	assert.NilError(t, err)
+	c, err := cause.Explain(attempt, lines)
+	assert.NilError(t, err)
+	return c
+}
+
+// promised returns the messages of the lines that a section of docs/OPERATIONS.md shows.
+func promised(t *testing.T, section string) []string {
+	t.Helper()
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	_, rest, ok := strings.Cut(string(page), "\n## "+section+"\n")
+	assert.Assert(t, ok, section)
+	text, _, _ := strings.Cut(rest, "\n## ")
+	var all []string
+	for _, found := range regexp.MustCompile(`(?m)^    msg="([^"]*)"`).FindAllStringSubmatch(text, -1) {
+		all = append(all, found[1])
+	}
+	assert.Assert(t, len(all) > 0, section)
+	return all
+}
+
+// failingSource is a store that is away.
+type failingSource struct{}
+
+func (failingSource) List(context.Context) (watch.Batch[string], error) {
+	return watch.Batch[string]{}, errors.New("status 503")
+}
+
+func (failingSource) Changes(context.Context, int64, time.Duration) (watch.Batch[string], error) {
+	return watch.Batch[string]{}, errors.New("status 503")
+}
+
+// TestFailuresOfTheOperationsPage replays the page's three kinds of failed request and finds the lines that it shows.
+func TestFailuresOfTheOperationsPage(t *testing.T) {
+	tests := []struct {
+		section string
+		play    func(t *testing.T, r *rig, log *slog.Logger)
+		outcome string
+		cause   []string
+	}{
+		{
+			"A stream that was cut", func(t *testing.T, r *rig, log *slog.Logger) {
+				for _, e := range r.engines {
+					e.Events, e.Pause = 60, 20*time.Millisecond
+					e.Script = func(conn net.Conn, q *plat.Request) bool {
+						isMove := strings.HasSuffix(q.URL.Path, "/kv-move")
+						if isMove || q.GoesOn() {
+							plat.Reply(conn, q, http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n")
+						}
+						return isMove || q.GoesOn()
+					}
+				}
+				done := make(chan reply)
+				go func() { done <- r.do(t, streamAsk("/report/x")) }()
+				first := r.runsOn(t)
+				time.Sleep(100 * time.Millisecond)
+				servers := &watch.Servers{Pool: r.Pool, Health: &watch.Health{Log: log}, Log: log}
+				servers.Apply(watch.Batch[pool.Server]{Changed: []pool.Server{{
+					ID: first.ID, Service: "model", Address: first.Address(), Domain: "d1", Region: "east", Slots: 8, Draining: true,
+				}}}, 0)
+				time.Sleep(300 * time.Millisecond)
+				first.Crash()
+				<-done
+			},
+			"cut",
+			[]string{"broke the stream after event", "had heard 0.3 s before that it leaves", "its last copy", "failed"},
+		},
+		{
+			"A request that was refused", func(t *testing.T, r *rig, log *slog.Logger) {
+				r.SetKeyAge(50 * time.Millisecond)
+				f := &watch.Follower[string]{Kind: "table", Source: failingSource{}, Wait: time.Second, Health: &watch.Health{Log: log}, Log: log}
+				ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+				defer cancel()
+				assert.NilError(t, f.Run(ctx))
+				assert.Equal(t, r.do(t, ask{path: "/read/x", key: "k1"}).status, http.StatusServiceUnavailable)
+			},
+			"refused",
+			[]string{"too old to accept keys", "the store was lost"},
+		},
+		{
+			"An answer that came late", func(t *testing.T, r *rig, _ *slog.Logger) {
+				next := table()
+				next.Version = 2
+				next.Match("h.example", "/report/x").Objective = 100 * time.Millisecond
+				r.Tables.Offer(next)
+				for _, e := range r.engines {
+					e.Script = func(net.Conn, *plat.Request) bool {
+						time.Sleep(150 * time.Millisecond)
+						return false
+					}
+				}
+				assert.NilError(t, r.do(t, streamAsk("/report/x")).err)
+			},
+			"answered",
+			[]string{"the first event came after", "prompt tokens were not read there"},
+		},
+	}
+	for _, tc := range tests {
+		t.Run(tc.section, func(t *testing.T) {
+			r := newRig(t, 5)
+			rec := r.log()
+			tc.play(t, r, r.Log)
+			r.Wait(context.Background())
+			c := rec.explain(t)
+			assert.Equal(t, c.Outcome, tc.outcome)
+			for _, part := range tc.cause {
+				assert.Assert(t, strings.Contains(c.Cause, part), c.Cause)
+			}
+			rec.mu.Lock()
+			defer rec.mu.Unlock()
+			for _, message := range promised(t, tc.section) {
+				assert.Assert(t, strings.Contains(rec.text.String(), `msg="`+message+`"`), "the page shows %q", message)
+			}
+		})
+	}
+}
--- a/internal/front/goon.go
+++ b/internal/front/goon.go
@@ -268,16 +268,24 @@
 	a.Exclude, a.Beside, a.Tokens = s.refused, &s.current.lease.Server, s.held()
 	claim, err := s.Pool.ChooseCopy(a, use, time.Now())
 	if err != nil {
+		if !s.isPlaceless {
+			s.isPlaceless = true
+			s.log.Info("no place for a copy", "server", s.current.lease.Server.ID, "region", s.current.lease.Server.Region,
+				"tokens", a.Tokens, "refused", s.refused, "last_event", s.last)
+		}
 		s.refused = nil
 		s.copyAfter = time.Now().Add(copyPause)
 		return
 	}
+	s.isPlaceless = false
 	s.copyTo(&standby{claim: claim})
 }
 
 // copyTo copies the run to a claimed place, or brings the copy there up to date.
 func (s *session) copyTo(by *standby) {
 	server := s.current.lease.Server
+	s.log.Info("copy on demand asked for", "server", server.ID, "to", by.claim.Server.ID, "tokens", s.held(), "held", by.claim.Seen.Tokens,
+		"pending", by.claim.Seen.Pending, "last_event", s.last)
 	s.isCopying = true
 	go func() {
 		made, err := s.Copies.Copy(s.ctx, server.Address, s.ID, by.claim.Server.Address)
--- a/internal/front/pace.go
+++ b/internal/front/pace.go
@@ -1,6 +1,10 @@
 package front
 
-import "time"
+import (
+	"time"
+
+	"github.com/tarragonspur/tarragonspur/internal/policy"
+)
 
 // pace is the timing of a stream's events.
 type pace struct {
@@ -25,3 +29,15 @@
 func (p *pace) fields() []any {
 	return []any{"first_event", p.first, "longest_gap", p.gap, "gap_before", p.gapAt}
 }
+
+// late says by what a whole stream missed its route's aims; empty if it did not.
+func (p *pace) late(r *policy.Route) string {
+	switch {
+	case r.Objective > 0 && p.first > r.Objective:
+		return "first event"
+	case r.Gap > 0 && p.gap > r.Gap:
+		return "pause"
+	default:
+		return ""
+	}
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -46,8 +46,9 @@
 	noticed time.Time
 	// copyAfter keeps the next copy on demand away from the last one that failed.
 	copyAfter time.Time
-	// refused lists the backend servers that had no room for a copy.
-	refused []string
+	// refused lists the backend servers that had no room for a copy; isPlaceless tells that no other one had either.
+	refused     []string
+	isPlaceless bool
 	// last is the number of the newest event that was forwarded.
 	last    int
 	started bool
@@ -150,7 +151,7 @@
 			by.used()
 			s.current.standby = nil
 		}
-		s.end("answered", s.current.status, append(s.pace.fields(), "server", s.current.lease.Server.ID, "last_event", s.last, "moves", s.moves)...)
+		s.end("answered", s.current.status, append(s.pace.fields(), "late", s.pace.late(s.route), "server", s.current.lease.Server.ID, "last_event", s.last, "moves", s.moves)...)
 		return true, nil
 	case p.err != nil:
 		return false, s.goOn(p.err)
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -165,7 +165,11 @@
 	if _, err := q.w.Write(a.body); err != nil {
 		return errors.Mark(errors.Wrap(err, "write answer"), errCallerGone)
 	}
-	q.end("answered", a.status, "server", a.server)
+	late := ""
+	if q.route.Objective > 0 && time.Since(q.arrived) > q.route.Objective {
+		late = "answer"
+	}
+	q.end("answered", a.status, "late", late, "server", a.server)
 	return nil
 }
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -53,8 +53,6 @@
 	Objective time.Duration
 	// Gap is the longest pause between two events of a stream that is still on time.
 	Gap time.Duration
-	// Priority ranks the route; 0 is the most urgent.
-	Priority int
 	// Attempts is the number of backend servers that one request may be sent to.
 	Attempts int
 	// Public routes take requests without a key.
@@ -111,29 +109,21 @@
 // Service is a group of backend servers that answer alike.
 type Service struct {
 	Name string
-	// Connections is the number of connections that one backend server takes from all hosts together.
-	Connections int
 	// ColdPerSecond is the number of requests a second that a cold backend server bears; 0 means no bound.
 	ColdPerSecond float64
-	// ColdStart is how long a backend server that has just started stays cold.
-	ColdStart time.Duration
 	// Engine is nil for plain services.
 	Engine *Engine
 }
 
 // Workspace is a customer's share of the deployment.
 type Workspace struct {
-	Name     string
-	Priority int
-	Regions  []string
+	Name    string
+	Regions []string
 }
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Table is one version of the operators' table. It is never changed once built.
