--- a/internal/front/goon.go
+++ b/internal/front/goon.go
@@ -261,7 +261,7 @@
 // copyNow copies the run to a backend server that has room, so that it can go on there.
 func (s *session) copyNow(use pool.Purpose) {
 	engine := s.service.Engine
-	if engine == nil || !engine.Moves || !s.started || s.isCopying || s.expectedOutput() < longOutput || time.Now().Before(s.copyAfter) {
+	if engine == nil || !engine.Moves || !s.started || s.isCopying || !s.isLong() || time.Now().Before(s.copyAfter) {
 		return
 	}
 	a := s.ask()
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -196,6 +196,12 @@
 	return s.Prompt + (s.last+1)*s.service.Engine.EventTokens + growthTokens
 }
 
+// isLong reports whether the run is worth a copy: by the caller's estimate, which is often far off, or because it has
+// gone on for half as long as a long one.
+func (s *session) isLong() bool {
+	return s.expectedOutput() >= longOutput || (s.last+1)*s.service.Engine.EventTokens >= longOutput/2
+}
+
 // hold updates the claims of the run and its copy.
 func (s *session) hold() {
 	if s.service.Engine == nil || s.current == nil {
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -135,6 +135,24 @@
 	}
 }
 
+func TestRunThatOutgrowsItsEstimateIsMoved(t *testing.T) {
+	r := newRig(t, 5)
+	for _, e := range r.engines {
+		e.Events, e.Pause = 60, 20*time.Millisecond
+	}
+	ask := streamAsk("/report/x")
+	ask.headers["Length-Hint"] = "10"
+	done := make(chan reply)
+	go func() { done <- r.do(t, ask) }()
+	first := r.runsOn(t)
+	time.Sleep(300 * time.Millisecond)
+	r.put(r.index(first), true)
+	time.AfterFunc(400*time.Millisecond, first.Crash)
+	resp := <-done
+	assert.NilError(t, resp.err)
+	assert.Equal(t, resp.text, story(60))
+}
+
 func TestMoveWaitsForPromptsToBeRead(t *testing.T) {
 	for _, tc := range []struct {
 		name string
