test(mirror): a test waits until its host listens

Shown by a pause of 50 ms before the host's start: fails each time before, passes after. The check is as strict as before.

--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
@@ -79,6 +80,14 @@
 		cancel()
 		assert.NilError(t, <-ended)
 	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+		if err != nil {
+			return poll.Continue("the host to listen")
+		}
+		assert.NilError(t, conn.Close())
+		return poll.Success()
+	}, poll.WithDelay(2*time.Millisecond))
 	return Host{Name: "reader", Address: address}
 }
 
