fix(watch): a pause ends also when a host began to read during the call before it

The follower looked whether a host reads at the beginning of its pause; one that began between the failed call and the pause was missed. Change: what counts is whether a host read before the call. Ruled out: load; the interleaving explains the time seen.

--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -82,6 +82,7 @@
 	revision := int64(0)
 	for ctx.Err() == nil {
 		began := time.Now()
+		wasReadable := f.IsReadable == nil || f.IsReadable()
 		next, changed, err := f.step(ctx, revision)
 		f.Sight.note(err == nil)
 		if !errors.Is(err, mirror.ErrNotReading) {
@@ -111,14 +112,15 @@
 			}
 		}
 		revision = next
-		f.pause(ctx, pause)
+		f.pause(ctx, pause, wasReadable)
 	}
 	return nil
 }
 
-// pause waits until its time is over or a host begins to read the store for this one.
-func (f *Follower[T]) pause(ctx context.Context, d time.Duration) {
-	if f.IsReadable == nil || f.IsReadable() {
+// pause waits until its time is over or a host begins to read the store for this one, which may have happened during
+// the call before.
+func (f *Follower[T]) pause(ctx context.Context, d time.Duration, wasReadable bool) {
+	if wasReadable {
 		sleep(ctx, d)
 		return
 	}
