--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -1,7 +1,6 @@
 package cmds
 
 import (
-	"io"
 	"os"
 	"path/filepath"
 
@@ -58,5 +57,5 @@
 		return nil, errors.Wrap(err, "open log")
 	}
 	defer func() { err = errors.CombineErrors(err, errors.Wrap(f.Close(), "close log")) }()
-	return cause.Read(io.Reader(f), filepath.Base(name), request)
+	return cause.Read(f, filepath.Base(name), request)
 }
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 const (
@@ -58,11 +60,7 @@
 
 // Suspect probes a backend server that broke a connection and marks the request if it is dead.
 func (t *Table) Suspect(ctx context.Context, print uint64, server string, address netip.AddrPort) {
-	timer := time.NewTimer(probeDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if !ticks.Sleep(ctx, probeDelay) {
 		return
 	}
 	dialer := net.Dialer{Timeout: probeTimeout}
--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -224,31 +224,9 @@
 // WaitReady returns when each entry host passes its readiness check.
 func (v *Devel) WaitReady(ctx context.Context) error {
 	for _, addr := range v.Callers {
-		if err := waitReady(ctx, addr); err != nil {
+		if err := httpd.AwaitOK(ctx, "http://"+addr.String()+"/readyz", readyPoll); err != nil {
 			return err
 		}
 	}
 	return nil
 }
-
-func waitReady(ctx context.Context, addr netip.AddrPort) error {
-	const pause = 10 * time.Millisecond
-	for {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+"/readyz", nil)
-		if err != nil {
-			return errors.Wrap(err, "build readiness check")
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "wait for %s", addr)
-		case <-time.After(pause):
-		}
-	}
-}
--- a/internal/devel/platform.go
+++ b/internal/devel/platform.go
@@ -15,6 +15,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
 	"github.com/tarragonspur/tarragonspur/internal/logs"
 	"github.com/tarragonspur/tarragonspur/internal/site"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 const (
@@ -47,9 +48,7 @@
 
 func tryTown(ctx context.Context, out io.Writer, host *site.Site, callers netip.AddrPort) error {
 	for !host.IsReady() {
-		select {
-		case <-time.After(readyPoll):
-		case <-ctx.Done():
+		if !ticks.Sleep(ctx, readyPoll) {
 			return errors.Wrap(ctx.Err(), "wait for the host on the platform")
 		}
 	}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tarragonspur/tarragonspur/internal/board"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 const pollPeriod = 20 * time.Millisecond
@@ -48,12 +49,12 @@
 	d.Log.Info("draining", "active", d.Board.Process.Active(), "balancer_lag", d.BalancerLag)
 	d.Members.Leave()
 	d.Grants.Stop()
-	if !pause(limited, d.BalancerLag) || !d.finish(limited) {
+	if !ticks.Sleep(limited, d.BalancerLag) || !d.finish(limited) {
 		d.Log.Warn("drain limit reached", "active", d.Board.Process.Active())
 		return
 	}
 	d.Members.Left()
-	if !pause(limited, d.FarewellFor) {
+	if !ticks.Sleep(limited, d.FarewellFor) {
 		return
 	}
 	d.Log.Info("drained")
@@ -62,19 +63,9 @@
 // finish waits until no request is in progress and reports whether it came to that.
 func (d *Drain) finish(ctx context.Context) bool {
 	for d.Board.Process.Active() > 0 {
-		if !pause(ctx, pollPeriod) {
+		if !ticks.Sleep(ctx, pollPeriod) {
 			return false
 		}
 	}
 	return true
 }
-
-// pause waits and reports whether the time passed before ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/fakes/model/server.go
+++ b/internal/fakes/model/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/tarragonspur/tarragonspur/internal/engine"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 const (
@@ -241,7 +242,7 @@
 	s.mu.Lock()
 	epoch, silences := s.epoch, s.silences
 	s.mu.Unlock()
-	wait(r.Context(), delay)
+	ticks.Sleep(r.Context(), delay)
 	w.WriteHeader(http.StatusOK)
 	enc := json.NewEncoder(w)
 	flush := http.NewResponseController(w)
@@ -279,16 +280,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (s *Server) progress(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +17,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/board"
 	"github.com/tarragonspur/tarragonspur/internal/drain"
 	"github.com/tarragonspur/tarragonspur/internal/entry"
+	"github.com/tarragonspur/tarragonspur/internal/group"
 	"github.com/tarragonspur/tarragonspur/internal/httpd"
 	"github.com/tarragonspur/tarragonspur/internal/metric"
 	"github.com/tarragonspur/tarragonspur/internal/peer"
@@ -46,35 +46,18 @@
 // Listen opens the listeners that the settings name and writes the real ports back into them.
 func Listen(ctx context.Context, s *config.Settings) (Listeners, error) {
 	var l Listeners
-	opens := []struct {
-		name string
-		addr *netip.AddrPort
-		to   *net.Listener
-	}{
-		{"callers", &s.Callers, &l.Callers},
-		{"operators", &s.Operators, &l.Operators},
-		{"peers", &s.Peers, &l.Peers},
-		{"metrics", &s.Metrics, &l.Metrics},
-	}
-	for _, o := range opens {
-		opened, err := httpd.Listen(ctx, o.addr.String())
-		if err != nil {
-			l.Close()
-			return Listeners{}, errors.Wrapf(err, "listen for %s", o.name)
-		}
-		*o.to = opened
-		*o.addr = netip.MustParseAddrPort(opened.Addr().String())
-	}
-	return l, nil
+	err := httpd.Open(ctx,
+		httpd.Port{Name: "callers", Address: &s.Callers, Listener: &l.Callers},
+		httpd.Port{Name: "operators", Address: &s.Operators, Listener: &l.Operators},
+		httpd.Port{Name: "peers", Address: &s.Peers, Listener: &l.Peers},
+		httpd.Port{Name: "metrics", Address: &s.Metrics, Listener: &l.Metrics},
+	)
+	return l, err
 }
 
 // Close closes the listeners that are open.
 func (l *Listeners) Close() {
-	for _, one := range []net.Listener{l.Callers, l.Operators, l.Peers, l.Metrics} {
-		if one != nil {
-			_ = one.Close()
-		}
-	}
+	httpd.Close(l.Callers, l.Operators, l.Peers, l.Metrics)
 }
 
 // Host is one entry host.
@@ -100,31 +83,17 @@
 
 // Run serves until ctx ends, then drains; it ends at once when abort ends.
 func (h *Host) Run(ctx, abort context.Context) error {
-	work, stop := context.WithCancel(abort)
-	defer stop()
-	parts := h.parts()
-	ended := make(chan error, len(parts))
-	for _, p := range parts {
-		go func() { ended <- errors.Wrapf(p.run(work), "%s", p.name) }()
+	var activities []func(context.Context) error
+	for _, p := range h.parts() {
+		activities = append(activities, func(ctx context.Context) error { return errors.Wrapf(p.run(ctx), "%s", p.name) })
 	}
 	h.Log.Info("host serves", "host", h.Settings.Host, "domain", h.Settings.Domain, "callers", h.Settings.Callers, "operators", h.Settings.Operators, "peers", h.Settings.Peers)
-	var first error
-	left := len(parts)
-	select {
-	case first = <-ended:
-		left--
-	case <-ctx.Done():
-		h.Drain.Wait(abort)
-	}
-	stop()
-	for range left {
-		first = errors.CombineErrors(first, <-ended)
-	}
+	err := group.Run(ctx, abort, func() { h.Drain.Wait(abort) }, activities)
 	for _, c := range h.Closers {
 		c.Close()
 	}
 	h.Log.Info("host stopped", "host", h.Settings.Host)
-	return first
+	return err
 }
 
 // part is one goroutine of the host.
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -205,30 +205,12 @@
 
 func newListeners(ctx context.Context, s config.Settings) (listeners, error) {
 	var l listeners
-	for _, one := range []struct {
-		address netip.AddrPort
-		to      *net.Listener
-	}{
-		{s.Callers, &l.callers},
-		{s.Platform.Ready, &l.ready},
-		{s.Metrics, &l.metrics},
-	} {
-		opened, err := httpd.Listen(ctx, one.address.String())
-		if err != nil {
-			l.close()
-			return listeners{}, err
-		}
-		*one.to = opened
-	}
-	return l, nil
-}
-
-func (l listeners) close() {
-	for _, one := range []net.Listener{l.callers, l.ready, l.metrics} {
-		if one != nil {
-			_ = one.Close()
-		}
-	}
+	err := httpd.Open(ctx,
+		httpd.Port{Name: "callers", Address: &s.Callers, Listener: &l.callers},
+		httpd.Port{Name: "readiness", Address: &s.Platform.Ready, Listener: &l.ready},
+		httpd.Port{Name: "metrics", Address: &s.Metrics, Listener: &l.metrics},
+	)
+	return l, err
 }
 
 // parts are what a site is composed of.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
+	"github.com/tarragonspur/tarragonspur/internal/group"
 	"github.com/tarragonspur/tarragonspur/internal/httpd"
 	"github.com/tarragonspur/tarragonspur/pkg/config"
 )
@@ -53,8 +54,6 @@
 // Run serves until ctx ends, then lets requests end within the grace period; it ends at once when abort ends.
 func (s *Site) Run(ctx, abort context.Context) error {
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.Settings.Platform.MemoryMB) * megabyte))
-	work, stop := context.WithCancel(abort)
-	defer stop()
 	logging, endLogging := context.WithCancel(context.WithoutCancel(abort))
 	logged := make(chan struct{})
 	go func() {
@@ -67,35 +66,20 @@
 	}()
 
 	callers := s.callerServer()
-	runs := []func(context.Context) error{
+	activities := []func(context.Context) error{
 		func(ctx context.Context) error { return httpd.Serve(ctx, callers, s.Listeners.callers) },
 		s.serve(s.Listeners.ready, s.readiness()),
 		s.serve(s.Listeners.metrics, s.Metrics.Handler()),
 		s.watchReload,
 	}
 	for _, c := range s.Controllers {
-		runs = append(runs, func(ctx context.Context) error { return errors.Wrapf(c.Run(ctx), "%s", c.Name()) })
-	}
-	ended := make(chan error, len(runs))
-	for _, run := range runs {
-		go func() { ended <- run(work) }()
+		activities = append(activities, func(ctx context.Context) error { return errors.Wrapf(c.Run(ctx), "%s", c.Name()) })
 	}
 	s.Log.Info("host serves", "host", s.Settings.Host, "domain", s.Settings.Domain, "region", s.Settings.Region,
 		"callers", s.Settings.Callers, "peers", s.Settings.Peers, "store", s.Settings.Store)
-	var first error
-	left := len(runs)
-	select {
-	case first = <-ended:
-		left--
-	case <-ctx.Done():
-		s.drain(abort, callers)
-	}
-	stop()
-	for range left {
-		first = errors.CombineErrors(first, <-ended)
-	}
-	s.Log.Info("host stopped", "host", s.Settings.Host, "error", first)
-	return first
+	err := group.Run(ctx, abort, func() { s.drain(abort, callers) }, activities)
+	s.Log.Info("host stopped", "host", s.Settings.Host, "error", err)
+	return err
 }
 
 // drain takes the host out of rotation and waits for its requests.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/httpd"
 	"github.com/tarragonspur/tarragonspur/pkg/config"
 )
 
@@ -135,22 +135,8 @@
 
 // awaitReady waits until the host's readiness check succeeds.
 func (p *process) awaitReady(ctx context.Context) error {
-	for {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.settings.Platform.Ready.String()+"/", http.NoBody)
-		if err != nil {
-			return errors.Wrap(err, "build check")
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
-		select {
-		case <-time.After(pollPeriod):
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "host %s is not ready; its log ends with %q", p.settings.Host, p.lastWords())
-		}
+	if err := httpd.AwaitOK(ctx, "http://"+p.settings.Platform.Ready.String()+"/", pollPeriod); err != nil {
+		return errors.Wrapf(err, "host %s is not ready; its log ends with %q", p.settings.Host, p.lastWords())
 	}
+	return nil
 }
--- a/internal/ticks/ticks.go
+++ b/internal/ticks/ticks.go
@@ -1,7 +1,8 @@
-// Package ticks reads a clock that never jumps and goes on while the machine is suspended.
+// Package ticks reads a clock that never jumps and goes on while the machine is suspended, and waits.
 package ticks
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -17,3 +18,18 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Sleep waits and reports whether the time passed before ctx ended.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
