refactor: less state and less work in gossip, watch and front

Change: one flag for knowing the others instead of two that were always read together; digests and introductions are written by one function; an outage is measured once for the store and for one follower; a reading host does not look for a reader to know that the store is there (asked at each event of a stream); a wrapper with one caller is gone; comments say what happens. Behaviour is kept.

--- a/internal/front/goon.go
+++ b/internal/front/goon.go
@@ -128,7 +128,7 @@
 // prepare turns a copy into a claim on its backend server and the stamp of the send.
 func (s *session) prepare(by *standby) (*pool.Lease, Stamp, error) {
 	by.used()
-	lease, err := s.leaseFor(by.claim.Server.ID)
+	lease, err := s.Pool.Claim(by.claim.Server.ID, s.held(), time.Now())
 	if err != nil {
 		return nil, Stamp{}, err
 	}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/send"
 )
 
@@ -234,8 +233,3 @@
 		s.discard(c.standby)
 	}
 }
-
-// leaseFor claims a backend server that the stream goes on at.
-func (s *session) leaseFor(id string) (*pool.Lease, error) {
-	return s.Pool.Claim(id, s.held(), time.Now())
-}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,6 +16,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/budget"
 	"github.com/tarragonspur/tarragonspur/internal/crash"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 const (
@@ -120,8 +121,8 @@
 	mu      sync.Mutex
 	peers   map[string]*peer
 	leaving bool
-	// listed tells that the registry has been read, introduced that a host has introduced the others.
-	listed, introduced bool
+	// informed tells that this host has learned of the others, from one of them or from the registry.
+	informed bool
 	// began is when this host started; it is never changed.
 	began time.Time
 }
@@ -191,7 +192,7 @@
 func (g *Gossip) find(ctx context.Context) {
 	registered := false
 	if len(g.Seeds) > 0 {
-		pause(ctx, settleTime)
+		ticks.Sleep(ctx, settleTime)
 	}
 	for ctx.Err() == nil {
 		if !registered {
@@ -201,19 +202,10 @@
 				g.Log.Info("host not registered yet", "error", err)
 			}
 		}
-		if registered && (!g.knowsOthers() || g.heardNone()) {
+		if registered && (!g.isInformed() || g.heardNone()) {
 			g.list(ctx)
 		}
-		pause(ctx, time.Duration((0.75+rand.Float64()/2)*float64(listPeriod)))
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		ticks.Sleep(ctx, time.Duration((0.75+rand.Float64()/2)*float64(listPeriod)))
 	}
 }
 
@@ -225,7 +217,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.listed = true
+	g.informed = true
 	for name, address := range all {
 		if name != g.Self {
 			g.meet(name, address)
@@ -250,11 +242,10 @@
 	return p
 }
 
-// knowsOthers reports whether this host has learned of the others, from one of them or from the store.
-func (g *Gossip) knowsOthers() bool {
+func (g *Gossip) isInformed() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.listed || g.introduced
+	return g.informed
 }
 
 func (g *Gossip) heardNone() bool {
--- a/internal/gossip/intro.go
+++ b/internal/gossip/intro.go
@@ -7,21 +7,21 @@
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 // ask asks the seeds for introductions until one answers, and later now and then a host that is heard.
 func (g *Gossip) ask(ctx context.Context, socket *net.UDPConn) {
 	for ctx.Err() == nil {
-		if g.knowsOthers() {
-			pause(ctx, introAgain)
+		if g.isInformed() {
+			ticks.Sleep(ctx, introAgain)
 			g.askOf(socket, g.heardOne())
 			continue
 		}
 		for _, seed := range g.Seeds {
 			g.askOf(socket, seed)
 		}
-		pause(ctx, introPeriod)
+		ticks.Sleep(ctx, introPeriod)
 	}
 }
 
@@ -32,7 +32,7 @@
 	d := g.digest()
 	// A question has no place in the order of digests, and its answer comes from a host that knows this one by then.
 	d.Asks = true
-	g.write(socket, d, address)
+	g.write(socket, d, []netip.AddrPort{address})
 }
 
 // heardOne returns a host that has been heard lately; the zero value if there is none.
@@ -61,27 +61,17 @@
 		}
 	}
 	g.mu.Unlock()
-	g.write(socket, d, to)
+	g.write(socket, d, []netip.AddrPort{to})
 }
 
 // meetAll takes introductions.
 func (g *Gossip) meetAll(known []Introduction) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.introduced = true
+	g.informed = true
 	for _, one := range known {
 		if one.Host != "" && one.Host != g.Self && one.Address.IsValid() && g.peers[one.Host] == nil {
 			g.meet(one.Host, one.Address)
 		}
 	}
 }
-
-// write sends one datagram, which may be lost in any case.
-func (g *Gossip) write(socket *net.UDPConn, d Digest, to netip.AddrPort) {
-	text, err := cbor.Marshal(d)
-	if err != nil || len(text) > maxDatagram {
-		g.Log.Error("datagram not sent", "bytes", len(text), "error", err)
-		return
-	}
-	_, _ = socket.WriteToUDPAddrPort(text, to)
-}
--- a/internal/gossip/reader.go
+++ b/internal/gossip/reader.go
@@ -12,7 +12,7 @@
 const readerSilence = 1500 * time.Millisecond
 
 // Reader returns the host of this region that reads the store for the others; false if this host reads for itself.
-// Of all hosts that can read, the one with the largest processor share is chosen, so that all hosts choose alike.
+// Every host takes the one with the largest processor share of all that can read, so that all take the same.
 func (g *Gossip) Reader() (mirror.Host, bool) {
 	isReading := g.IsReading()
 	g.mu.Lock()
@@ -26,11 +26,14 @@
 
 // IsAway reports whether no host of this region reads the store, so that notices may have been missed.
 func (g *Gossip) IsAway() bool {
+	if g.IsReading() {
+		return false
+	}
 	_, isRead := g.Reader()
-	return !isRead && !g.IsReading()
+	return !isRead
 }
 
-// IsFirst reports whether this host would be chosen of all hosts of the region that are heard.
+// IsFirst reports whether this host has the largest processor share of all hosts of the region that are heard.
 func (g *Gossip) IsFirst() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -51,7 +54,7 @@
 	}
 }
 
-// best returns the host with the largest processor share of those that may be chosen; the caller holds the lock.
+// best returns the host with the largest processor share of those that may read; the caller holds the lock.
 func (g *Gossip) best(mayBeSelf bool, may func(*peer) bool) string {
 	best, cores := "", 0.0
 	if mayBeSelf && !g.leaving {
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -32,7 +32,7 @@
 			sequence++
 		}
 		d.Incarnation, d.Sequence = incarnation, sequence
-		g.tell(socket, d, isUrgent)
+		g.write(socket, d, g.due(sequence, isUrgent))
 		g.expire()
 	}
 }
@@ -48,9 +48,9 @@
 	return d
 }
 
-func (g *Gossip) tell(socket *net.UDPConn, d Digest, isUrgent bool) {
-	due := g.due(d.Sequence, isUrgent)
-	if len(due) == 0 {
+// write sends a digest to hosts.
+func (g *Gossip) write(socket *net.UDPConn, d Digest, to []netip.AddrPort) {
+	if len(to) == 0 {
 		return
 	}
 	text, err := cbor.Marshal(d)
@@ -58,7 +58,7 @@
 		g.Log.Error("digest not sent", "bytes", len(text), "error", err)
 		return
 	}
-	for _, address := range due {
+	for _, address := range to {
 		// A datagram may be lost in any case; the next one makes up for it.
 		_, _ = socket.WriteToUDPAddrPort(text, address)
 	}
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -67,7 +67,7 @@
 // Lease is one request's claim on a backend server.
 type Lease struct {
 	Server Server
-	// Seen is the load of the backend server, by all hosts as far as known, on which it was chosen.
+	// Seen is the load of the backend server before this claim, by all hosts as far as known.
 	Seen Load
 
 	pool    *Pool
--- a/internal/watch/health.go
+++ b/internal/watch/health.go
@@ -14,13 +14,31 @@
 	awayAfter = 300 * time.Millisecond
 )
 
+// outage is a time without success; the zero value is none.
+type outage struct {
+	since time.Time
+}
+
+// note takes an outcome.
+func (o *outage) note(ok bool, now time.Time) {
+	switch {
+	case ok:
+		o.since = time.Time{}
+	case o.since.IsZero():
+		o.since = now
+	}
+}
+
+// lasts reports whether there has been no success for so long that it is more than a broken connection.
+func (o *outage) lasts(now time.Time) bool { return !o.since.IsZero() && now.Sub(o.since) >= awayAfter }
+
 // Health is what this host has seen of the store. The zero value has seen nothing.
 type Health struct {
 	Log *slog.Logger
 
 	mu       sync.Mutex
 	failed   int
-	since    time.Time
+	outage   outage
 	returned time.Time
 }
 
@@ -32,21 +50,21 @@
 	switch {
 	case ok && h.failed > 0:
 		h.returned = now
-		h.Log.Info("store regained", "failed_calls", h.failed, "away", now.Sub(h.since))
+		h.Log.Info("store regained", "failed_calls", h.failed, "away", now.Sub(h.outage.since))
 		h.failed = 0
 	case !ok:
 		if h.failed == 0 {
-			h.since = now
 			h.Log.Warn("store lost")
 		}
 		h.failed++
 	}
+	h.outage.note(ok, now)
 }
 
 // Sight is whether one sink is in step with the store. The zero value is in step; nil takes no notes.
 type Sight struct {
-	mu   sync.Mutex
-	lost time.Time
+	mu     sync.Mutex
+	outage outage
 }
 
 func (s *Sight) note(inStep bool) {
@@ -55,26 +73,21 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case inStep:
-		s.lost = time.Time{}
-	case s.lost.IsZero():
-		s.lost = time.Now()
-	}
+	s.outage.note(inStep, time.Now())
 }
 
 // IsLost reports whether the sink has been out of step for so long that notices may have been missed.
 func (s *Sight) IsLost() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.lost.IsZero() && time.Since(s.lost) >= awayAfter
+	return s.outage.lasts(time.Now())
 }
 
 // IsAway reports whether the store has not answered for so long that notices may have been missed.
 func (h *Health) IsAway() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.failed > 0 && time.Since(h.since) >= awayAfter
+	return h.outage.lasts(time.Now())
 }
 
 // GoneAt returns the time at which an entry that vanished now is to be taken as gone: now, unless the store was away.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -121,11 +121,11 @@
 // the call before.
 func (f *Follower[T]) pause(ctx context.Context, d time.Duration, wasReadable bool) {
 	if wasReadable {
-		sleep(ctx, d)
+		ticks.Sleep(ctx, d)
 		return
 	}
 	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end) && !f.IsReadable(); {
-		sleep(ctx, min(readerPause, time.Until(end)))
+		ticks.Sleep(ctx, min(readerPause, time.Until(end)))
 	}
 }
 
@@ -151,15 +151,3 @@
 	f.Sink.Apply(b, began-b.Age)
 	return max(revision, b.Revision), len(b.Changed)+len(b.Removed) > 0, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
