feat(queue): streams wait in their host until an engine has room, or are refused

Cause: every request was sent at once.

Change: package queue decides who is sent, waits or is refused, apart from input and output, each rule with its load pattern. Requests that can still be on time go first, then by priority and arrival. A request is refused once its last useful start has passed or the backlog drains too late for it, with a Retry-After from that. Requests that wait are matched with the newest table before they are sent, and reach a stopping host's refusal. The pool learns the prefill speed, keeps its servers in a stable order and claims within limits of delay, slots and memory.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/queue"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
 	"github.com/tarragonspur/tarragonspur/internal/send"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
@@ -64,9 +65,11 @@
 	HeaderCodec HeaderCodec
 	Copies      Copies
 	Budget      Budget
-	Guard       Guard
-	Meter       Meter
-	Log         *slog.Logger
+	// Queue holds requests until a model engine has room.
+	Queue *queue.Queue
+	Guard Guard
+	Meter Meter
+	Log   *slog.Logger
 
 	keyAge atomic.Int64
 	// stopAt is when a stopping host aborts the requests still in progress; nil unless the host is stopping.
@@ -114,7 +117,7 @@
 	if end == nil {
 		return false
 	}
-	left := end.Sub(q.arrived)
+	left := time.Until(*end)
 	if q.route.Kind == policy.Streaming && q.expectedOutput() >= longOutputTokens {
 		return left < longStreamTime
 	}
@@ -156,6 +159,22 @@
 	if table == nil {
 		return retryable(refuse.CodeStoreUnavailable, "no table is known yet")
 	}
+	if err := q.match(table, confirmed); err != nil {
+		return err
+	}
+	q.deadline = q.arrived.Add(q.effectiveTimeout())
+	if err := q.readBody(r, table.Limits); err != nil {
+		return err
+	}
+	q.print = q.fingerprint()
+	if q.Guard.IsQuarantined(q.print) {
+		return retryable(refuse.CodeNoBackend, "the request has crashed the backend servers that ran it")
+	}
+	return nil
+}
+
+// match finds the request's route, workspace and service in a table. Its errors are refusals.
+func (q *request) match(table *policy.Table, confirmed time.Duration) error {
 	q.table, q.tableAge = table.Version, ticks.Now()-confirmed
 	keyAge := time.Duration(q.keyAge.Load())
 	isStale := keyAge > 0 && q.tableAge > keyAge
@@ -182,14 +201,6 @@
 	if q.stopsTooSoon() {
 		return retryable(refuse.CodeDraining, "the host is about to stop")
 	}
-	q.deadline = q.arrived.Add(q.effectiveTimeout())
-	if err := q.readBody(r, table.Limits); err != nil {
-		return err
-	}
-	q.print = q.fingerprint()
-	if q.Guard.IsQuarantined(q.print) {
-		return retryable(refuse.CodeNoBackend, "the request has crashed the backend servers that ran it")
-	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/front/place_test.go
@@ -0,0 +1,96 @@
+package front_test
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+	"github.com/tarragonspur/tarragonspur/internal/policy"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
+)
+
+// fill makes the model engines busy with the prompts of another host; false empties them.
+func (r *rig) fill(isFull bool) {
+	loads := make(map[string]pool.Load)
+	for _, e := range r.engines {
+		if isFull {
+			loads[e.ID] = pool.Load{Runs: 3, Tokens: 9000, PendingPromptTokens: 60000}
+		}
+	}
+	r.Pool.SetRemoteLoads("other", loads)
+}
+
+func (r *rig) waiting() int { return r.Queue.Locals()["model"].Waiting }
+
+// TestStreamsWaitForRoom brings about a crowd: each engine has prompts pending that would make the request late.
+func TestStreamsWaitForRoom(t *testing.T) {
+	newTable := func(keys map[string]*policy.Workspace) *policy.Table {
+		next := table()
+		next.Version, next.Keys = 2, keys
+		return next
+	}
+	for _, tc := range []struct {
+		name   string
+		path   string
+		during func(r *rig)
+		status int
+		sent   int
+	}{
+		{"served when there is room", "/note/x", func(r *rig) { r.fill(false) }, http.StatusOK, 1},
+		{"refused when its key is withdrawn meanwhile", "/note/x", func(r *rig) {
+			r.Tables.PutIfNewer(newTable(map[string]*policy.Workspace{"k9": {Name: "w9"}}))
+			r.Tables.Confirm(ticks.Now())
+			r.fill(false)
+		}, http.StatusUnauthorized, 0},
+		{"refused when the host stops meanwhile", "/note/x", func(r *rig) { r.StopAt(time.Now().Add(time.Second)) }, http.StatusServiceUnavailable, 0},
+		{"refused once nobody can serve it in time", "/note/x", func(*rig) {}, http.StatusTooManyRequests, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 2)
+			r.fill(true)
+			answers := make(chan reply, 1)
+			go func() {
+				answers <- r.do(t, callerRequest{path: tc.path, key: "k1", headers: map[string]string{"Token-Usage": "800,16"}})
+			}()
+			eventually(t, "the request to wait", func() bool { return r.waiting() == 1 })
+			assert.Equal(t, len(r.received()), 0)
+			tc.during(r)
+			got := <-answers
+			assert.Equal(t, got.status, tc.status)
+			assert.Equal(t, len(r.received()), tc.sent)
+			assert.Equal(t, r.waiting(), 0)
+			if tc.status == http.StatusTooManyRequests {
+				after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				assert.NilError(t, err)
+				assert.Assert(t, after > 0)
+			}
+		})
+	}
+}
+
+func TestPlainRequestsDoNotWait(t *testing.T) {
+	r := newRig(t, 2)
+	r.fill(true)
+	assert.Equal(t, r.do(t, callerRequest{path: "/read/x", key: "k1"}).status, http.StatusOK)
+}
+
+// TestRequestThatMayHaveRunIsNotRefusedAsNotRun loses the answer of the first backend server while the others become full.
+func TestRequestThatMayHaveRunIsNotRefusedAsNotRun(t *testing.T) {
+	r := newRig(t, 4)
+	for _, e := range r.engines {
+		e.Script = func(conn net.Conn, _ *plat.Request) bool {
+			r.fill(true)
+			_ = conn.Close()
+			return true
+		}
+	}
+	got := r.do(t, callerRequest{path: "/note/x", key: "k1", headers: map[string]string{"Token-Usage": "800,16"}})
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, len(r.received()), 1)
+}
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -207,7 +207,7 @@
 		if next != nil {
 			s.Meter.Resumed("resumed")
 			s.current = next
-			next.lease.PrefillDone()
+			next.lease.PrefillDone(time.Now())
 			return nil
 		}
 	}
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/front"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/queue"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 	"github.com/tarragonspur/tarragonspur/platform"
 )
@@ -109,7 +110,7 @@
 	holder.Confirm(ticks.Now())
 	r.Front = &front.Front{
 		RoutingState: front.RoutingState{Tables: holder, Pool: &pool.Pool{Domain: "d1", Region: "east", Jitter: func() float64 { return 0 }}},
-		HeaderCodec:  platform.HeaderCodec{}, Copies: platform.Engines{}, Store: r, Budget: r, Guard: r.guard, Meter: meter{},
+		HeaderCodec:  platform.HeaderCodec{}, Copies: platform.Engines{}, Store: r, Budget: r, Queue: &queue.Queue{Now: time.Now}, Guard: r.guard, Meter: meter{},
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	for i := range engines {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -86,7 +86,7 @@
 
 // startRun starts a run at a newly chosen backend server.
 func (s *session) startRun() (*fullAnswer, error) {
-	lease, err := s.Pool.Choose(s.requirements(), time.Now())
+	lease, err := s.place(s.ctx, s.started)
 	if err != nil {
 		return nil, err
 	}
@@ -169,7 +169,7 @@
 	}
 	if !s.started {
 		s.started = true
-		from.lease.PrefillDone()
+		from.lease.PrefillDone(time.Now())
 		s.Meter.FirstEvent(time.Since(s.arrived))
 		s.writeHead(from.status, from.header)
 	}
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/queue"
+	"github.com/tarragonspur/tarragonspur/internal/refuse"
 	"github.com/tarragonspur/tarragonspur/internal/send"
 )
 
@@ -52,7 +54,8 @@
 // mayRetry reports whether the request may be sent to another backend server. A retry of a request that was sent is
 // taken from the retry budget.
 func (q *request) mayRetry(err error) bool {
-	if errors.Is(err, pool.ErrNoServer) || len(q.tried) >= maxSends {
+	var refused *refuse.Error
+	if errors.Is(err, pool.ErrNoServer) || errors.Is(err, queue.ErrOverloaded) || errors.As(err, &refused) || len(q.tried) >= maxSends {
 		return false
 	}
 	if errors.Is(err, send.ErrNotSent) {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -55,6 +55,8 @@
 	EventGapTarget time.Duration
 	// MaxAttempts bounds the number of backend servers that one request may be sent to.
 	MaxAttempts int
+	// Priority is the rank of the requests, 0 the most urgent.
+	Priority int
 	// Public routes accept requests without an API key.
 	Public bool
 	// Resumable streams may be resumed on another backend server from an event's ID.
@@ -119,6 +121,8 @@
 type Workspace struct {
 	Name    string
 	Regions []string
+	// Priority replaces the route's priority; nil keeps it.
+	Priority *int
 }
 
 // Limits are limits on what callers may send.
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -10,13 +10,15 @@
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 )
 
-// ErrNoServer is returned if no backend server is eligible.
-var ErrNoServer = errors.New("no eligible backend server")
+var (
+	// ErrNoServer is returned if no backend server is eligible.
+	ErrNoServer = errors.New("no eligible backend server")
+	// ErrBusy is returned if backend servers are eligible but all are above the limits of the request.
+	ErrBusy = errors.New("all eligible backend servers are above the limits")
+)
 
 // The costs that rank backend servers, in milliseconds of expected delay.
 const (
-	// prefillTokensPerMS is the prefill speed of an engine, from the deployments' data sheets.
-	prefillTokensPerMS = 14.0
 	// runCost is the slowdown of an event by each further run in the batch.
 	runCost = 3.0
 	// memoryUseCost is the cost of using all of an engine's memory, in proportion.
@@ -60,6 +62,10 @@
 	// Prompt is the number of prompt tokens, Tokens the memory in tokens that the run is expected to need.
 	Prompt int
 	Tokens int
+	// MaxDelay bounds the time in which a model engine prefills the prompts that are pending there, and MaxMemoryUse the
+	// fraction of its memory in use with the request. Both apply if MaxMemoryUse is positive.
+	MaxDelay     time.Duration
+	MaxMemoryUse float64
 	// Source is the backend server whose run is copied; nil except for ChooseCopy.
 	Source *Server
 }
@@ -70,11 +76,12 @@
 	// LoadBefore is the load of the backend server before this claim, by all hosts as far as known.
 	LoadBefore Load
 
-	pool    *Pool
-	entry   *entry
-	load    Load
-	pending int
-	ended   bool
+	pool      *Pool
+	entry     *entry
+	load      Load
+	pending   int
+	ended     bool
+	claimedAt time.Time
 }
 
 // Choose claims the eligible backend server with the lowest cost for a run, or returns ErrNoServer.
@@ -89,23 +96,49 @@
 func (p *Pool) choose(a Requirements, now time.Time) (*Lease, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *entry
-	lowest := math.Inf(1)
-	for _, e := range p.servers {
+	best, fitting := p.cheapest(a, now)
+	switch {
+	case best == nil:
+		return nil, ErrNoServer
+	case a.hasLimits() && fitting == nil && !best.isSuspect(now):
+		return nil, ErrBusy
+	case a.hasLimits() && fitting != nil:
+		best = fitting
+	}
+	if best.isCold(now) {
+		best.coldSends = append(best.coldSends, now)
+	}
+	return p.lease(best, Load{Runs: 1, Tokens: a.Tokens, PendingPromptTokens: a.Prompt}, now), nil
+}
+
+// cheapest returns the eligible backend server with the lowest cost, and the one among those within the limits that did not
+// fail recently; nil if there is none.
+func (p *Pool) cheapest(a Requirements, now time.Time) (best, fitting *entry) {
+	lowest, lowestFitting := math.Inf(1), math.Inf(1)
+	for _, e := range p.order {
 		if !p.isEligible(e, a, now) {
 			continue
 		}
-		if c := p.cost(e, a, now); c < lowest {
+		c := p.cost(e, a, now)
+		if c < lowest {
 			best, lowest = e, c
 		}
+		if c < lowestFitting && !e.isSuspect(now) && p.isWithinLimits(e, a) {
+			fitting, lowestFitting = e, c
+		}
 	}
-	if best == nil {
-		return nil, ErrNoServer
-	}
-	if best.isCold(now) {
-		best.coldSends = append(best.coldSends, now)
+	return best, fitting
+}
+
+func (a Requirements) hasLimits() bool { return a.MaxMemoryUse > 0 && a.Service.Engine != nil }
+
+// isWithinLimits reports whether a model engine has a free slot and is within the limits of the request.
+func (p *Pool) isWithinLimits(e *entry, a Requirements) bool {
+	if !a.hasLimits() {
+		return true
 	}
-	return p.lease(best, Load{Runs: 1, Tokens: a.Tokens, PendingPromptTokens: a.Prompt}), nil
+	l := e.load()
+	return l.Runs < a.Service.Engine.Slots && p.prefillTime(a.Service.Name, l.PendingPromptTokens) <= a.MaxDelay && memoryUse(e, a) <= a.MaxMemoryUse
 }
 
 // Purpose is the purpose of a copy of a run.
@@ -150,7 +183,7 @@
 	defer p.mu.Unlock()
 	var best *entry
 	lowest := math.Inf(1)
-	for _, e := range p.servers {
+	for _, e := range p.order {
 		// The link between regions is too slow to copy an engine's memory, and a copy that waits for it delays all
 		// other copies of its engine.
 		if !p.isEligible(e, a, now) || e.isSuspect(now) || e.Region != a.Source.Region || e.ID == a.Source.ID {
@@ -163,7 +196,7 @@
 	if best == nil {
 		return nil, ErrNoServer
 	}
-	return p.lease(best, Load{Tokens: a.Tokens}), nil
+	return p.lease(best, Load{Tokens: a.Tokens}, now), nil
 }
 
 // Claim claims the given backend server for a run that is resumed there, or returns ErrNoServer if it is not available.
@@ -174,13 +207,13 @@
 	if e == nil || !p.isAvailable(e, now) {
 		return nil, ErrNoServer
 	}
-	return p.lease(e, Load{Runs: 1, Tokens: tokens}), nil
+	return p.lease(e, Load{Runs: 1, Tokens: tokens}, now), nil
 }
 
-func (p *Pool) lease(e *entry, l Load) *Lease {
+func (p *Pool) lease(e *entry, l Load, now time.Time) *Lease {
 	seen := e.load()
 	e.local.add(l)
-	return &Lease{Server: e.Server, LoadBefore: seen, pool: p, entry: e, load: l, pending: l.PendingPromptTokens}
+	return &Lease{Server: e.Server, LoadBefore: seen, pool: p, entry: e, load: l, pending: l.PendingPromptTokens, claimedAt: now}
 }
 
 func (p *Pool) isEligible(e *entry, a Requirements, now time.Time) bool {
@@ -211,7 +244,7 @@
 	c := p.jitter()*jitterCost + e.failureRate*failureCost
 	l := e.load()
 	if engine := a.Service.Engine; engine != nil {
-		c += float64(l.PendingPromptTokens)/prefillTokensPerMS + runCost*float64(l.Runs)
+		c += milliseconds(p.prefillTime(a.Service.Name, l.PendingPromptTokens)) + runCost*float64(l.Runs)
 		c += memoryUseCost * float64(l.Tokens) / float64(engine.MemoryTokens)
 		if over := float64(l.Tokens+a.Tokens)/float64(engine.MemoryTokens) - preemptionThreshold; over > 0 {
 			c += overcommitCost * over
@@ -247,15 +280,18 @@
 		c += copyDomainCost
 	}
 	if use == Migration {
-		c += copyPendingCost * float64(e.load().PendingPromptTokens) / prefillTokensPerMS
+		c += copyPendingCost * milliseconds(p.prefillTime(a.Service.Name, e.load().PendingPromptTokens))
 	}
 	return c
 }
 
-// PrefillDone records that the prefill of the lease's prompt is done, as the first event shows.
-func (l *Lease) PrefillDone() {
+// PrefillDone records that the prefill of the lease's prompt is done, as the first event shows, and learns the speed.
+func (l *Lease) PrefillDone(now time.Time) {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
+	if l.pending > 0 {
+		l.pool.learnSpeed(l.Server.Service, l.LoadBefore.PendingPromptTokens+l.pending, now.Sub(l.claimedAt))
+	}
 	l.entry.local.PendingPromptTokens -= l.pending
 	l.pending = 0
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,8 +1,10 @@
 package pool
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -29,12 +31,16 @@
 	// Jitter returns a number from 0 to 1 that makes hosts with equal views choose differently; nil means random.
 	Jitter func() float64
 
-	mu        sync.Mutex
-	servers   map[string]*entry
+	mu      sync.Mutex
+	servers map[string]*entry
+	// order holds the servers sorted by ID, so that equal states lead to equal choices.
+	order     []*entry
 	evacuated map[string]bool
 	// synced is set once a full list has been read.
 	synced bool
 	remote map[string]map[string]Load
+	// speeds are the learned prefill speeds by service.
+	speeds map[string]float64
 }
 
 // Put adds or updates a backend server.
@@ -50,11 +56,14 @@
 	}
 	e := p.servers[s.ID]
 	if e == nil || e.StartedMS != s.StartedMS && s.StartedMS != 0 {
-		e = &entry{}
+		e = &entry{Server: s}
 		for _, loads := range p.remote {
 			e.remote.add(loads[s.ID])
 		}
+		p.remove(s.ID)
 		p.servers[s.ID] = e
+		i, _ := p.position(s.ID)
+		p.order = slices.Insert(p.order, i, e)
 	}
 	e.Server, e.removeAt = s, time.Time{}
 	e.coldUntil = now.Add(s.ColdRemaining)
@@ -69,7 +78,19 @@
 		e.removeAt = at
 		return
 	}
+	p.remove(id)
+}
+
+// remove deletes a backend server; the caller holds the lock.
+func (p *Pool) remove(id string) {
 	delete(p.servers, id)
+	if i, found := p.position(id); found {
+		p.order = slices.Delete(p.order, i, i+1)
+	}
+}
+
+func (p *Pool) position(id string) (int, bool) {
+	return slices.BinarySearchFunc(p.order, id, func(e *entry, id string) int { return cmp.Compare(e.ID, id) })
 }
 
 // Replace sets all backend servers from a full list; those not listed are removed as by Remove, but a removal time that
@@ -88,7 +109,7 @@
 			continue
 		}
 		if !at.After(now) {
-			delete(p.servers, id)
+			p.remove(id)
 		} else if e.removeAt.IsZero() {
 			e.removeAt = at
 		}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -82,7 +82,7 @@
 	l, err := p.Choose(Requirements{Service: model(), Prompt: 100, Tokens: 400}, time.Unix(100, 0))
 	assert.NilError(t, err)
 	assert.Equal(t, p.LocalLoads()["a"], Load{Runs: 1, Tokens: 400, PendingPromptTokens: 100})
-	l.PrefillDone()
+	l.PrefillDone(time.Unix(100, 0))
 	l.SetTokens(700)
 	assert.Equal(t, p.LocalLoads()["a"], Load{Runs: 1, Tokens: 700})
 	l.Release()
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -21,6 +21,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/mirror"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/queue"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 	"github.com/tarragonspur/tarragonspur/internal/watch"
 	"github.com/tarragonspur/tarragonspur/pkg/config"
@@ -57,6 +58,7 @@
 	newCrashes,
 	newGossip,
 	newBudget,
+	newQueue,
 	newFront,
 	metric.New,
 	metric.NewFront,
@@ -154,11 +156,13 @@
 	return b
 }
 
-func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, t *crash.Table, g *gossip.Gossip, syncStatus *watch.SyncStatus, m *metric.Front, log *slog.Logger) *front.Front {
+func newQueue() *queue.Queue { return &queue.Queue{Now: time.Now} }
+
+func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, w *queue.Queue, t *crash.Table, g *gossip.Gossip, syncStatus *watch.SyncStatus, m *metric.Front, log *slog.Logger) *front.Front {
 	f := &front.Front{
 		RoutingState: front.RoutingState{Tables: h, Pool: p},
 		HeaderCodec:  platform.HeaderCodec{}, Copies: platform.Engines{},
-		Store: storeState{g, syncStatus}, Budget: b, Guard: t, Meter: m, Log: log,
+		Store: storeState{g, syncStatus}, Budget: b, Queue: w, Guard: t, Meter: m, Log: log,
 	}
 	f.SetMaxKeyAge(keyAge(s))
 	return f
