fix(send,front): answers without end are bounded, and too large ones are errors

Cause: the head of an answer was read without a limit, so a server that sent bytes until the caller closed filled the host's memory; a plain answer over 8 MiB that read without error gave neither an answer nor an error, and the request's handler panicked; the body of a failed answer was cut at 8 MiB under its original headers.

Change: a head, interim answers included, takes at most 64 KiB; one function reads all buffered answers, at most 8 MiB each and 16 MiB for all in progress beside the first 64 KiB of each. The connection is closed and counts against the server.

TestAnswersWithoutEnd and TestHeadsWithoutEnd fail before: nil dereference, and reads that did not end.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -74,7 +74,9 @@
 	keyAge atomic.Int64
 	// stopAt is when a stopping host aborts the requests still in progress; nil unless the host is stopping.
 	stopAt atomic.Pointer[time.Time]
-	active sync.WaitGroup
+	// buffered is the number of bytes of answers that are being read.
+	buffered atomic.Int64
+	active   sync.WaitGroup
 }
 
 // request is one request in progress.
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -19,6 +20,9 @@
 	maxSends = 4
 	// maxAnswerBytes bounds an answer that is buffered before it is passed on.
 	maxAnswerBytes = 8 << 20
+	// maxBufferedBytes bounds the bytes of all answers that are being read, except the first answerChunkBytes of each.
+	maxBufferedBytes = 16 << 20
+	answerChunkBytes = 64 << 10
 )
 
 // fullAnswer is an answer whose body has been read completely.
@@ -83,13 +87,30 @@
 		return nil, err
 	}
 	defer answer.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-	if err != nil || len(body) > maxAnswerBytes {
-		lease.RecordAnswer(true)
-		return nil, errors.Mark(errors.Wrapf(err, "answer of %d bytes is incomplete or too large", len(body)), send.ErrBroken)
+	return q.readAnswer(lease, answer)
+}
+
+// readAnswer reads the body of an answer and records the outcome in the lease.
+func (q *request) readAnswer(lease *pool.Lease, answer *send.Answer) (*fullAnswer, error) {
+	held := int64(0)
+	defer func() { q.buffered.Add(-held) }()
+	var body bytes.Buffer
+	for {
+		n, err := io.CopyN(&body, answer.Body, answerChunkBytes)
+		held += n
+		buffered := q.buffered.Add(n)
+		switch {
+		case errors.Is(err, io.EOF):
+			lease.RecordAnswer(answer.Status >= http.StatusInternalServerError)
+			return &fullAnswer{status: answer.Status, header: answer.Header, body: body.Bytes(), server: lease.Server.ID}, nil
+		case err == nil && (body.Len() > maxAnswerBytes || body.Len() > answerChunkBytes && buffered > maxBufferedBytes):
+			err = errors.Newf("answer exceeds %d bytes, or all answers in progress exceed %d", maxAnswerBytes, maxBufferedBytes)
+		}
+		if err != nil {
+			lease.RecordAnswer(true)
+			return nil, errors.Mark(errors.Wrapf(err, "read %d bytes of an answer", body.Len()), send.ErrBroken)
+		}
 	}
-	lease.RecordAnswer(answer.Status >= http.StatusInternalServerError)
-	return &fullAnswer{status: answer.Status, header: answer.Header, body: body, server: lease.Server.ID}, nil
 }
 
 // exchange sends the request to one backend server and returns its answer with the body unread, after checking that it
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -112,12 +111,8 @@
 	if answer.Status >= http.StatusMultipleChoices {
 		defer q.close(f)
 		defer answer.Close()
-		body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
-		lease.RecordAnswer(answer.Status >= http.StatusInternalServerError)
-		if err != nil {
-			return nil, nil, errors.Mark(errors.Wrap(err, "read body of failed answer"), send.ErrBroken)
-		}
-		return nil, &fullAnswer{status: answer.Status, header: answer.Header, body: body, server: lease.Server.ID}, nil
+		full, err := q.readAnswer(lease, answer)
+		return nil, full, err
 	}
 	f.header, f.status = answer.Header, answer.Status
 	f.items = make(chan streamItem, 8)
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -34,6 +34,9 @@
 	keepAliveCount    = 3
 	// readBufferBytes is enough for the events of a stream that arrive together.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the bytes before the body of an answer, interim answers included: bytes that are no answer may come
+	// without end.
+	maxHeadBytes = 64 << 10
 	// inlineBodyBytes is the largest body that is written before the answer is read.
 	inlineBodyBytes = 16 << 10
 )
@@ -106,7 +109,8 @@
 			}
 		}()
 	}
-	br := bufio.NewReaderSize(conn, readBufferBytes)
+	limited := &headReader{conn: conn, left: maxHeadBytes}
+	br := bufio.NewReaderSize(limited, readBufferBytes)
 	for {
 		resp, err := http.ReadResponse(br, &http.Request{Method: r.Method}) //nolint:bodyclose // Answer.Close ends the connection, and the body with it
 		if err != nil {
@@ -115,10 +119,31 @@
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
 			continue
 		}
+		limited.isBody = true
 		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
 	}
 }
 
+// headReader reads from a connection, up to a limit until the head of an answer has been read.
+type headReader struct {
+	conn   net.Conn
+	left   int
+	isBody bool
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if r.isBody {
+		return r.conn.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, errors.Newf("head of the answer exceeds %d bytes", maxHeadBytes)
+	}
+	n, err := r.conn.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // readError marks an error as ErrBroken if the connection failed, else as ErrInvalidAnswer.
 func readError(err error) error {
 	var netErr net.Error
