perf(mirror): hosts of a large deployment await the next reader instead of calling the store together

Cause: when the host that reads the store for a region fails, every other host of the region lists all kinds itself: 441 calls with 147 hosts. Change: above 100 hosts all but the preferred reader wait 0.75 to 1.5 s for the next one.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -79,6 +80,10 @@
 	avoidUntil map[string]time.Time
 	// lastFailure is when a call of any kind to the store last failed; zero if one has succeeded since.
 	lastFailure time.Time
+	// lostAt is when a read from the reading host first failed or found none, zero after one that succeeded. This host calls
+	// the store itself from directAt on.
+	lostAt   time.Time
+	directAt time.Time
 }
 
 const (
@@ -88,6 +93,10 @@
 	maxCallingHostsPerSecond = 15
 	// maxPause bounds the backoff of one host from a failing store.
 	maxPause = 4 * time.Second
+	// takeoverHosts is the number of hosts above which a host that loses its reader waits up to maxTakeover for another one
+	// to become the reader, so that not all of them call the store.
+	takeoverHosts = 100
+	maxTakeover   = 1500 * time.Millisecond
 )
 
 // List returns all documents of a kind; ErrNotReading if this host must not call the store now.
@@ -95,7 +104,7 @@
 	if b, err := m.readFromPeer(ctx, kind, 0, 0); err == nil {
 		return b, nil
 	}
-	if !m.Readers.MayRead() || m.isBackingOff() {
+	if !m.Readers.MayRead() || m.isBackingOff() || m.awaitsReader() {
 		return Batch{}, ErrNotReading
 	}
 	began := ticks.Now()
@@ -118,6 +127,20 @@
 	return time.Since(m.lastFailure) < pause
 }
 
+// awaitsReader reports whether this host waits a moment for another one to read the store. The preferred reader never waits.
+func (m *Mirror) awaitsReader() bool {
+	if m.Readers.Hosts() <= takeoverHosts || m.Readers.IsPreferredReader() {
+		return false
+	}
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lostAt.IsZero() {
+		m.lostAt, m.directAt = now, now.Add(time.Duration((0.5+rand.Float64()/2)*float64(maxTakeover)))
+	}
+	return now.Before(m.directAt)
+}
+
 // recordOutcome records whether a call to the store failed.
 func (m *Mirror) recordOutcome(err error) {
 	m.mu.Lock()
@@ -139,7 +162,7 @@
 		// This host has become the reader for others, which need a complete cache.
 		return Batch{}, ErrHistoryGone
 	}
-	if m.isBackingOff() {
+	if m.isBackingOff() || m.awaitsReader() {
 		return Batch{}, ErrNotReading
 	}
 	began := ticks.Now()
@@ -165,6 +188,9 @@
 		err = errors.Newf("documents of host %s are %s old", reader.Name, b.Age)
 	}
 	if err == nil || errors.Is(err, ErrHistoryGone) || ctx.Err() != nil {
+		m.mu.Lock()
+		m.lostAt = time.Time{}
+		m.mu.Unlock()
 		return b, err
 	}
 	m.mu.Lock()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -41,6 +41,8 @@
 	isFollower bool
 	// isUndiscovered means that the hosts have not discovered each other yet.
 	isUndiscovered bool
+	// hosts is the number of hosts; 0 means 60.
+	hosts int
 }
 
 func (r *fakeReaders) Reader() (Host, bool) {
@@ -54,7 +56,12 @@
 
 func (r *fakeReaders) MayRead() bool { return !r.isUndiscovered }
 
-func (r *fakeReaders) Hosts() int { return 60 }
+func (r *fakeReaders) Hosts() int {
+	if r.hosts > 0 {
+		return r.hosts
+	}
+	return 60
+}
 
 func newMirror(st Store, r Readers) *Mirror {
 	return &Mirror{Store: st, Readers: r, Link: &Link{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
@@ -224,3 +231,29 @@
 		assert.Assert(t, err == nil || errors.Is(err, context.Canceled), err)
 	}
 }
+
+func TestHostsOfALargeDeploymentAwaitTheNextReader(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		reads *fakeReaders
+		waits bool
+	}{
+		{"the preferred reader", &fakeReaders{hosts: 295}, false},
+		{"others", &fakeReaders{hosts: 295, isFollower: true}, true},
+		{"others of a small deployment", &fakeReaders{hosts: 83, isFollower: true}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			store := &fakeStore{batch: Batch{Revision: 3}}
+			m := newMirror(store, tc.reads)
+			_, err := m.List(t.Context(), "servers")
+			assert.Equal(t, errors.Is(err, ErrNotReading), tc.waits)
+			assert.Equal(t, store.calls == 0, tc.waits)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if _, err := m.List(t.Context(), "servers"); err == nil {
+					return poll.Success()
+				}
+				return poll.Continue("the host to call the store itself")
+			}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
+		})
+	}
+}
