feat(gossip): hosts of large deployments report to relays of their failure domain, which pass on sums

Cause: each host sent its digest to every other one, at once to those of its region after each request: datagrams grew with the square of the hosts, about 126,000 a second with 295. Introductions of 250 hosts or more exceeded a datagram and were not sent. Every host registered in the store at each start.

Change: above 100 hosts each host reports to the two first relays of its failure domain. Relays exchange sums over their failure domains and send the sum over all hosts to their own, 50 times a second; a host subtracts its own part, which the sum names by its sequence number. The first relay in rank that covers its failure domain is followed, the second takes over after 0.4 s. Three hosts of each failure domain register. Hosts with the same old view spread their choice over about twice as many servers as claims are unseen. Package tally holds sums and history.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -107,6 +107,19 @@
 	return own
 }
 
+// Recent returns the marks of all hosts that were added lately, for a relay to pass on.
+func (t *Table) Recent() []Mark {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var recent []Mark
+	for m, h := range t.marks {
+		if time.Since(h.recordedAt) < announceFor {
+			recent = append(recent, m)
+		}
+	}
+	return recent
+}
+
 // Merge adds the marks of another host.
 func (t *Table) Merge(marks []Mark) {
 	for _, m := range marks {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,6 +16,8 @@
 	"github.com/tarragonspur/tarragonspur/internal/budget"
 	"github.com/tarragonspur/tarragonspur/internal/crash"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/queue"
+	"github.com/tarragonspur/tarragonspur/internal/tally"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
@@ -40,6 +42,10 @@
 	// how often it requests them later from a random peer, in case it has missed some.
 	introRetryInterval   = 200 * time.Millisecond
 	introRefreshInterval = 10 * time.Second
+	// introStartTime is the time after a start in which introductions are requested every introStartInterval, since other
+	// hosts may have started at the same time and known few.
+	introStartTime     = 1500 * time.Millisecond
+	introStartInterval = 500 * time.Millisecond
 	// discoveryTime is the time in which hosts that start together discover each other, and readerElectionTime the time in
 	// which the elected reader announces that it reads the store. Hosts of a deployment start within 0.3 s of each other.
 	discoveryTime      = 150 * time.Millisecond
@@ -54,57 +60,23 @@
 	Addresses(ctx context.Context) (map[string]netip.AddrPort, error)
 }
 
-// Digest is the state that one host broadcasts.
-type Digest struct {
-	Host string `cbor:"1,keyasint"`
-	// Incarnation is the host's start time in Unix milliseconds.
-	Incarnation int64 `cbor:"2,keyasint"`
-	// Sequence orders the digests of one incarnation.
-	Sequence uint64       `cbor:"3,keyasint"`
-	Leaving  bool         `cbor:"4,keyasint,omitempty"`
-	Loads    []ServerLoad `cbor:"5,keyasint,omitempty"`
-	Crashes  []crash.Mark `cbor:"6,keyasint,omitempty"`
-	Region   string       `cbor:"7,keyasint,omitempty"`
-	// Cores is the host's processor share.
-	Cores float64 `cbor:"8,keyasint,omitempty"`
-	// Reading reports that the host reads the store and can read it for others.
-	Reading bool `cbor:"9,keyasint,omitempty"`
-	// Sends are the counts of the retry budget.
-	Sends []ServiceSends `cbor:"10,keyasint,omitempty"`
-	// WantsIntroductions requests introductions. The reply holds only Host and Introductions.
-	WantsIntroductions bool           `cbor:"11,keyasint,omitempty"`
-	Introductions      []Introduction `cbor:"12,keyasint,omitempty"`
-}
-
-// Introduction is the address of a host that the sender has seen recently.
-type Introduction struct {
-	Host    string         `cbor:"1,keyasint"`
-	Address netip.AddrPort `cbor:"2,keyasint"`
-}
-
-// ServiceSends counts what a host has sent to a service within the window of the retry budget.
-type ServiceSends struct {
-	Service  string `cbor:"1,keyasint"`
-	Arrivals int    `cbor:"2,keyasint,omitempty"`
-	Repeats  int    `cbor:"3,keyasint,omitempty"`
-}
-
-// ServerLoad is a host's load on one backend server.
-type ServerLoad struct {
-	Server  string `cbor:"1,keyasint"`
-	Runs    int    `cbor:"2,keyasint,omitempty"`
-	Tokens  int    `cbor:"3,keyasint,omitempty"`
-	Pending int    `cbor:"4,keyasint,omitempty"`
+// Backlogs returns the requests that wait at this host, by service.
+type Backlogs interface {
+	Locals() map[string]queue.Backlog
 }
 
 // Gossip exchanges digests with the other hosts.
 type Gossip struct {
 	Self    string
+	Domain  string
 	Region  string
 	Address netip.AddrPort
 	// Cores is the host's processor share; hosts with more of it read the store for others.
-	Cores    float64
-	Registry Registry
+	Cores float64
+	// MeshHosts is the number of hosts up to which each sends its digests to all others. In larger deployments each sends
+	// them to the relays of its failure domain, which pass on sums: the datagrams grow with the hosts, not with their square.
+	MeshHosts int
+	Registry  Registry
 	// Seeds are hosts to request introductions from; some may be stale or down.
 	Seeds []netip.AddrPort
 	// IsReading reports whether this host reads the store and can read it for others.
@@ -112,6 +84,7 @@
 	Pool      *pool.Pool
 	Crashes   *crash.Table
 	Budget    *budget.Shared
+	Queue     Backlogs
 	Log       *slog.Logger
 
 	// wake triggers a broadcast at once: when this host has sent a request, whose load the others need before they place
@@ -125,10 +98,14 @@
 	discovered bool
 	// startedAt is when this host started; it never changes.
 	startedAt time.Time
+	// reporters are the counts of the hosts that send their digests to this one.
+	reporters tally.Sources
+	fleet
 }
 
 // peer is another host.
 type peer struct {
+	name        string
 	address     netip.AddrPort
 	incarnation int64
 	sequence    uint64
@@ -136,21 +113,30 @@
 	// firstSeen is when the host was added.
 	firstSeen    time.Time
 	unresponsive bool
+	// reportedAt is when the host last sent its digest to this one.
+	reportedAt time.Time
 	// lastSent is when a digest was last sent to the host.
 	lastSent         time.Time
 	lastSentSequence uint64
 	region           string
+	domain           string
 	cores            float64
 	reading          bool
 	leaving          bool
-	sends            []ServiceSends
+	relayState
 }
 
 // Name names the controller in logs.
 func (g *Gossip) Name() string { return "gossip" }
 
 // New returns a Gossip; its exported fields must be set before Run.
-func New() *Gossip { return &Gossip{wake: make(chan struct{}, 1), startedAt: time.Now()} }
+func New() *Gossip {
+	g := &Gossip{MeshHosts: meshHosts, wake: make(chan struct{}, 1), startedAt: time.Now()}
+	g.reporters = tally.Sources{MaxAge: unresponsiveAfter, MaxKnownAge: forgetAfter}
+	g.domains = tally.Sources{MaxAge: unresponsiveAfter, MaxKnownAge: forgetAfter}
+	g.incarnation = g.startedAt.UnixMilli()
+	return g
+}
 
 // BroadcastNow triggers a broadcast without waiting for the next period.
 func (g *Gossip) BroadcastNow() {
@@ -195,7 +181,7 @@
 		ticks.Sleep(ctx, discoveryTime)
 	}
 	for ctx.Err() == nil {
-		if !registered {
+		if !registered && g.mustRegister() {
 			err := g.Registry.Register(ctx, g.Self, g.Address)
 			registered = err == nil
 			if err != nil {
@@ -232,7 +218,7 @@
 	}
 	p := g.peers[name]
 	if p == nil {
-		p = &peer{firstSeen: time.Now()}
+		p = &peer{name: name, firstSeen: time.Now()}
 		g.peers[name] = p
 		g.Log.Info("host discovered", "host", name, "address", address)
 		// The new peer receives this host's digest at once.
@@ -270,12 +256,20 @@
 func (g *Gossip) Hosts() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.known(time.Now())
+}
+
+// known implements Hosts; the caller holds the lock.
+func (g *Gossip) known(now time.Time) int {
 	n := 1
 	for _, p := range g.peers {
-		if time.Since(p.lastSeen) < forgetAfter || time.Since(p.firstSeen) < forgetAfter {
+		if now.Sub(p.lastSeen) < forgetAfter || now.Sub(p.firstSeen) < forgetAfter {
 			n++
 		}
 	}
+	if now.Sub(g.summedAt) < forgetAfter {
+		n = max(n, g.others.Known+1)
+	}
 	return n
 }
 
@@ -292,6 +286,14 @@
 	return names
 }
 
+// LiveCount returns the number of hosts seen recently, this one included.
+func (g *Gossip) LiveCount() int {
+	if _, hosts, ok := g.rank(); ok {
+		return hosts
+	}
+	return len(g.LiveHosts())
+}
+
 // receive processes digests until the socket is closed.
 func (g *Gossip) receive(socket *net.UDPConn) {
 	buf := make([]byte, 64<<10)
@@ -303,24 +305,51 @@
 		if err != nil {
 			continue
 		}
-		var d Digest
-		if err := cbor.Unmarshal(buf[:n], &d); err != nil || d.Host == "" || d.Host == g.Self {
+		var m message
+		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
 			g.Log.Debug("datagram skipped", "from", from, "bytes", n, "error", err)
 			continue
 		}
-		switch {
-		case len(d.Introductions) > 0:
-			g.addIntroduced(d.Introductions)
-			continue
-		case d.WantsIntroductions:
-			g.introduce(socket, from)
+		g.handle(socket, m, from)
+	}
+}
+
+// handle processes one datagram.
+func (g *Gossip) handle(socket *net.UDPConn, m message, from netip.AddrPort) {
+	if len(m.Summary) > 0 {
+		var s Summary
+		if err := cbor.Unmarshal(m.Summary, &s); err != nil || s.Host == "" || s.Host == g.Self {
+			g.Log.Debug("summary skipped", "from", from, "error", err)
+			return
 		}
-		g.merge(d, from)
+		g.applySummary(m, s, from)
+	}
+	d := m.Digest
+	if d == nil || d.Host == "" || d.Host == g.Self {
+		return
+	}
+	switch {
+	case len(d.Introductions) > 0:
+		g.addIntroduced(d.Introductions)
+	case d.WantsIntroductions:
+		g.introduce(socket, from)
+		g.addStarting(*d, from)
+	default:
+		g.merge(*d, from)
 	}
 }
 
+// addStarting adds a host that requests introductions.
+func (g *Gossip) addStarting(d Digest, from netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.addPeer(d.Host, from)
+	p.region, p.domain, p.cores, p.lastSeen = d.Region, d.Domain, d.Cores, time.Now()
+}
+
 // merge applies another host's digest unless it is older than the last one.
 func (g *Gossip) merge(d Digest, from netip.AddrPort) {
+	now := time.Now()
 	g.mu.Lock()
 	p := g.addPeer(d.Host, from)
 	if d.Incarnation < p.incarnation || d.Incarnation == p.incarnation && d.Sequence < p.sequence {
@@ -328,17 +357,21 @@
 		return
 	}
 	if p.unresponsive {
-		g.Log.Info("host heard again", "host", d.Host, "silent_for", time.Since(p.lastSeen))
+		g.Log.Info("host heard again", "host", d.Host, "silent_for", now.Sub(p.lastSeen))
+	}
+	p.incarnation, p.sequence, p.lastSeen, p.unresponsive = d.Incarnation, d.Sequence, now, false
+	p.region, p.domain, p.cores, p.reading, p.leaving = d.Region, d.Domain, d.Cores, d.Reading, d.Leaving
+	p.reportedAt = now
+	p.heard()
+	isRelayed := g.isRelayed(now)
+	c := countsOf(d.Loads, d.Services)
+	if !isRelayed || d.Domain == g.Domain {
+		g.reporters.Put(d.Host, c, now)
 	}
-	p.incarnation, p.sequence, p.lastSeen, p.unresponsive = d.Incarnation, d.Sequence, time.Now(), false
-	p.region, p.cores, p.reading, p.leaving = d.Region, d.Cores, d.Reading, d.Leaving
-	p.sends = d.Sends
 	g.mu.Unlock()
-	loads := make(map[string]pool.Load, len(d.Loads))
-	for _, l := range d.Loads {
-		loads[l.Server] = pool.Load{Runs: l.Runs, Tokens: l.Tokens, PendingPromptTokens: l.Pending}
+	if !isRelayed {
+		g.Pool.SetRemoteLoads(d.Host, c.Loads)
 	}
-	g.Pool.SetRemoteLoads(d.Host, loads)
 	g.Crashes.Merge(d.Crashes)
 }
 
@@ -346,15 +379,24 @@
 func (g *Gossip) expire() {
 	g.mu.Lock()
 	var unresponsive []string
+	isRelayed := g.isRelayed(time.Now())
 	for name, p := range g.peers {
+		if isRelayed && p.domain != g.Domain {
+			continue
+		}
 		if !p.unresponsive && !p.lastSeen.IsZero() && time.Since(p.lastSeen) > unresponsiveAfter {
 			p.unresponsive = true
 			unresponsive = append(unresponsive, name)
 			g.Log.Info("host silent", "host", name, "heard", time.Since(p.lastSeen))
 		}
 	}
+	isSumLost := g.parts > 0 && time.Since(g.summedAt) > unresponsiveAfter
 	g.mu.Unlock()
 	for _, name := range unresponsive {
 		g.Pool.SetRemoteLoads(name, nil)
 	}
+	if isSumLost {
+		g.Log.Info("sum of the other hosts' loads lost")
+		g.setParts(0)
+	}
 }
--- a/internal/gossip/intro.go
+++ b/internal/gossip/intro.go
@@ -5,23 +5,39 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
-// requestIntroductions asks the seeds for introductions until hosts are discovered, and later a random live peer.
+// requestIntroductions asks the seeds for introductions until hosts are discovered, some more times while others start too,
+// while no relay is heard, and later a random live peer.
 func (g *Gossip) requestIntroductions(ctx context.Context, socket *net.UDPConn) {
 	for ctx.Err() == nil {
-		if g.hasDiscovered() {
-			ticks.Sleep(ctx, introRefreshInterval)
-			g.requestFrom(socket, g.randomLivePeer())
+		if !g.hasDiscovered() {
+			g.requestFromSeeds(socket)
+			ticks.Sleep(ctx, introRetryInterval)
 			continue
 		}
-		for _, seed := range g.Seeds {
-			g.requestFrom(socket, seed)
+		switch {
+		case time.Since(g.startedAt) < introStartTime:
+			ticks.Sleep(ctx, introStartInterval)
+			g.requestFromSeeds(socket)
+		case g.lacksRelay():
+			ticks.Sleep(ctx, introStartInterval)
+			g.requestFromSeeds(socket)
+			g.requestFrom(socket, g.randomLivePeer())
+		default:
+			ticks.Sleep(ctx, introRefreshInterval)
+			g.requestFrom(socket, g.randomLivePeer())
 		}
-		ticks.Sleep(ctx, introRetryInterval)
+	}
+}
+
+func (g *Gossip) requestFromSeeds(socket *net.UDPConn) {
+	for _, seed := range g.Seeds {
+		g.requestFrom(socket, seed)
 	}
 }
 
@@ -52,17 +68,34 @@
 	return live[rand.IntN(len(live))]
 }
 
-// introduce sends the addresses of all hosts seen recently, this one included.
+// introduce sends the hosts that this one knows to be alive, itself included.
 func (g *Gossip) introduce(socket *net.UDPConn, to netip.AddrPort) {
+	now := time.Now()
 	g.mu.Lock()
-	d := Digest{Host: g.Self, Introductions: []Introduction{{Host: g.Self, Address: g.Address}}}
-	for name, p := range g.peers {
-		if time.Since(p.lastSeen) < unresponsiveAfter {
-			d.Introductions = append(d.Introductions, Introduction{Host: name, Address: p.address})
+	intros := []Introduction{g.ownIntroduction()}
+	for _, p := range g.peers {
+		if now.Sub(p.lastSeen) < unresponsiveAfter {
+			intros = append(intros, p.introduction(now))
 		}
 	}
 	g.mu.Unlock()
-	g.write(socket, d, []netip.AddrPort{to})
+	for part := range slices.Chunk(intros, maxIntroductions) {
+		g.write(socket, Digest{Host: g.Self, Introductions: part}, []netip.AddrPort{to})
+	}
+}
+
+// maxIntroductions bounds the introductions in a datagram.
+const maxIntroductions = 60
+
+func (g *Gossip) ownIntroduction() Introduction {
+	return Introduction{Host: g.Self, Address: g.Address, Region: g.Region, Domain: g.Domain, Cores: g.Cores, Leaving: g.leaving}
+}
+
+func (p *peer) introduction(now time.Time) Introduction {
+	return Introduction{
+		Host: p.name, Address: p.address, Region: p.region, Domain: p.domain, Cores: p.cores, Reading: p.reading, Leaving: p.leaving,
+		AgeMS: now.Sub(p.lastSeen).Milliseconds(),
+	}
 }
 
 // addIntroduced adds the introduced hosts that are not peers yet.
@@ -71,8 +104,22 @@
 	defer g.mu.Unlock()
 	g.discovered = true
 	for _, intro := range intros {
-		if intro.Host != "" && intro.Host != g.Self && intro.Address.IsValid() && g.peers[intro.Host] == nil {
-			g.addPeer(intro.Host, intro.Address)
-		}
+		g.addMember(intro, false, time.Now())
+	}
+}
+
+// addMember adds an introduced host. If isCurrent, its state replaces an older one. The caller holds the lock.
+func (g *Gossip) addMember(intro Introduction, isCurrent bool, now time.Time) {
+	if intro.Host == "" || intro.Host == g.Self || !intro.Address.IsValid() {
+		return
+	}
+	p := g.peers[intro.Host]
+	if p == nil {
+		p = g.addPeer(intro.Host, intro.Address)
+		p.region, p.domain, p.cores = intro.Region, intro.Domain, intro.Cores
+	}
+	if seen := now.Add(-time.Duration(intro.AgeMS) * time.Millisecond); isCurrent && !seen.Before(p.lastSeen) {
+		p.lastSeen, p.unresponsive, p.address = seen, false, intro.Address
+		p.region, p.domain, p.cores, p.reading, p.leaving = intro.Region, intro.Domain, intro.Cores, intro.Reading, intro.Leaving
 	}
 }
--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -7,6 +7,8 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/budget"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/queue"
+	"github.com/tarragonspur/tarragonspur/internal/tally"
 )
 
 // loadsOf returns loads in a stable order, so that equal states give equal digests.
@@ -19,33 +21,69 @@
 	return loads
 }
 
-// sendsOf returns counts in a stable order.
-func sendsOf(own map[string]budget.SendCounts) []ServiceSends {
-	sends := make([]ServiceSends, 0, len(own))
-	for service, c := range own {
-		sends = append(sends, ServiceSends{Service: service, Arrivals: c.Arrivals, Repeats: c.Retries})
+// servicesOf returns counts in a stable order.
+func servicesOf(all map[string]tally.Service) []ServiceCounts {
+	counts := make([]ServiceCounts, 0, len(all))
+	for name, s := range all {
+		counts = append(counts, ServiceCounts{
+			Service: name, Arrivals: s.SendCounts.Arrivals, Repeats: s.Retries, Waiting: s.Waiting,
+			ArrivalRate: s.Backlog.Arrivals, StartRate: s.Starts,
+		})
 	}
-	slices.SortFunc(sends, func(a, b ServiceSends) int { return cmp.Compare(a.Service, b.Service) })
-	return sends
+	slices.SortFunc(counts, func(a, b ServiceCounts) int { return cmp.Compare(a.Service, b.Service) })
+	return counts
+}
+
+// countsOf returns the counts of one host.
+func countsOf(loads []ServerLoad, services []ServiceCounts) tally.Counts {
+	c := tally.Counts{
+		Loads: make(map[string]pool.Load, len(loads)), Services: make(map[string]tally.Service, len(services)), Hosts: 1, Known: 1,
+	}
+	for _, l := range loads {
+		c.Loads[l.Server] = pool.Load{Runs: l.Runs, Tokens: l.Tokens, PendingPromptTokens: l.Pending}
+	}
+	for _, s := range services {
+		c.Services[s.Service] = tally.Service{
+			SendCounts: budget.SendCounts{Arrivals: s.Arrivals, Retries: s.Repeats},
+			Backlog:    queue.Backlog{Waiting: s.Waiting, Arrivals: s.ArrivalRate, Starts: s.StartRate},
+		}
+	}
+	return c
 }
 
 // Sends returns the sum of what the other live hosts have sent to a service, and the number of these hosts.
 func (g *Gossip) Sends(service string) (budget.SendCounts, int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var sum budget.SendCounts
-	live := 0
-	for _, p := range g.peers {
-		if time.Since(p.lastSeen) > unresponsiveAfter {
-			continue
-		}
-		live++
-		for _, s := range p.sends {
-			if s.Service == service {
-				sum.Arrivals += s.Arrivals
-				sum.Retries += s.Repeats
-			}
-		}
+	others := g.otherHosts(time.Now())
+	return others.Services[service].SendCounts, others.Hosts
+}
+
+// Backlog returns the sum of the requests that wait at the other live hosts.
+func (g *Gossip) Backlog(service string) queue.Backlog {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.otherHosts(time.Now()).Services[service].Backlog
+}
+
+// Unseen returns the expected number of starts at other hosts that the sums of relays don't include yet.
+func (g *Gossip) Unseen(service string) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if !g.isRelayed(now) {
+		return 0
+	}
+	return g.otherHosts(now).Services[service].Starts * relayDelay.Seconds()
+}
+
+// otherHosts returns the counts of the other live hosts; the caller holds the lock.
+func (g *Gossip) otherHosts(now time.Time) tally.Counts {
+	if !g.isRelayed(now) {
+		return g.reporters.Sum(now)
+	}
+	if now.Sub(g.summedAt) > unresponsiveAfter {
+		return tally.Counts{}
 	}
-	return sum, live
+	return g.others
 }
--- /dev/null
+++ b/internal/gossip/relay.go
@@ -0,0 +1,248 @@
+package gossip
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tarragonspur/tarragonspur/internal/tally"
+)
+
+const (
+	// meshHosts is the default of Gossip.MeshHosts.
+	meshHosts = 100
+	// relaysPerDomain is the number of relays that every host reports to, so that a second one is ready.
+	relaysPerDomain = 2
+	// registeredPerDomain is the number of hosts of a failure domain that register in the store; the seeds know the others.
+	registeredPerDomain = 3
+	// relayPeriod is the interval of a primary relay's summaries.
+	relayPeriod = 20 * time.Millisecond
+	// secondaryPeriods is the number of periods between the summaries of other relays, which only show that they live.
+	secondaryPeriods = 50
+	// relayDelay is the mean time until a load reaches the other hosts: up to one period at each of two relays.
+	relayDelay = 3 * relayPeriod / 2
+	// primaryTimeout is the time without a summary after which a primary relay counts as failed.
+	primaryTimeout = 400 * time.Millisecond
+	// relayTimeout is the time after which a relay that does not answer digests is avoided, for relayAvoidTime.
+	relayTimeout   = 2 * time.Second
+	relayAvoidTime = 3 * time.Second
+	// takeoverShare is the share of its failure domain's hosts that must report to a relay before it replaces a primary.
+	takeoverShare = 0.9
+	// readerHeartbeat is the interval of digests without changes of hosts that read the store.
+	readerHeartbeat = 500 * time.Millisecond
+)
+
+// relayState is what a host knows of a peer as a relay.
+type relayState struct {
+	// waitingSince is when the first digest was sent that the peer has not answered; zero if it answered the last one.
+	waitingSince time.Time
+	avoidUntil   time.Time
+	// relayedAt and primaryAt are when the last summary, and the last one as the primary relay, arrived.
+	relayedAt time.Time
+	primaryAt time.Time
+	// domainHosts is the number of hosts that the relay covers.
+	domainHosts int
+	// isMember reports that a relay named the peer as a relay or reader.
+	isMember           bool
+	summaryIncarnation int64
+	summarySequence    uint64
+}
+
+// heard records that the peer answered.
+func (s *relayState) heard() { s.waitingSince, s.avoidUntil = time.Time{}, time.Time{} }
+
+// isRelayed reports whether the deployment is so large that hosts report to relays; the caller holds the lock.
+func (g *Gossip) isRelayed(now time.Time) bool {
+	isRelayed := g.known(now) > g.MeshHosts
+	if isRelayed != g.wasRelayed {
+		g.wasRelayed = isRelayed
+		g.reporters.Clear()
+		g.domains.Clear()
+		g.mustReset = true
+		g.Log.Info("digests change their way", "relayed", isRelayed, "hosts", g.known(now))
+	}
+	return isRelayed
+}
+
+// outranks reports whether host a comes before host b as a relay and as a reader of the store.
+func outranks(a string, cores float64, b string, otherCores float64) bool {
+	return cmp.Or(cmp.Compare(cores, otherCores), cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b))) > 0
+}
+
+// ranked returns the hosts of a failure domain that may be relays, best first; the caller holds the lock.
+func (g *Gossip) ranked(domain string, now time.Time) []*peer {
+	var all []*peer
+	for _, p := range g.peers {
+		if p.domain != domain || p.leaving || now.Before(p.avoidUntil) || now.Sub(p.lastSeen) > forgetAfter && now.Sub(p.firstSeen) > forgetAfter {
+			continue
+		}
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b *peer) int {
+		if outranks(a.name, a.cores, b.name, b.cores) {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// relaysOf returns the relays of a failure domain other than this host: the first in rank, of which it may be one, and those
+// heard as primary; the caller holds the lock.
+func (g *Gossip) relaysOf(domain string, now time.Time) []*peer {
+	var relays []*peer
+	before := 0
+	isCounted := domain != g.Domain || g.leaving
+	for _, p := range g.ranked(domain, now) {
+		if !isCounted && outranks(g.Self, g.Cores, p.name, p.cores) {
+			isCounted = true
+			before++
+		}
+		if before < relaysPerDomain || now.Sub(p.primaryAt) < time.Second {
+			relays = append(relays, p)
+		}
+		before++
+	}
+	return relays
+}
+
+// dueAtRelays returns the addresses of the relays that a digest is due for; the caller holds the lock.
+func (g *Gossip) dueAtRelays(now time.Time, sequence uint64, isUrgent bool) []netip.AddrPort {
+	var due []netip.AddrPort
+	for _, p := range g.relaysOf(g.Domain, now) {
+		minInterval := period
+		switch {
+		case isUrgent:
+			minInterval = urgentInterval
+		case p.lastSentSequence == sequence && g.wasReading:
+			minInterval = readerHeartbeat
+		case p.lastSentSequence == sequence:
+			minInterval = heartbeat
+		}
+		if now.Sub(p.lastSent) < minInterval-minInterval/4 {
+			continue
+		}
+		p.lastSent, p.lastSentSequence = now, sequence
+		p.asked(now)
+		due = append(due, p.address)
+	}
+	return due
+}
+
+// asked records that a message was sent that the peer has to answer within relayTimeout.
+func (p *peer) asked(now time.Time) {
+	switch {
+	case p.waitingSince.IsZero():
+		p.waitingSince = now
+	case now.Sub(p.waitingSince) > relayTimeout:
+		p.waitingSince, p.avoidUntil = time.Time{}, now.Add(relayAvoidTime)
+	}
+}
+
+// isReporting reports whether the peer sends its digests to this host; the caller holds the lock.
+func (g *Gossip) isReporting(p *peer, now time.Time) bool {
+	return p.domain == g.Domain && now.Sub(p.reportedAt) < unresponsiveAfter
+}
+
+// isPrimary reports whether this host, to which others report, is the relay that its failure domain follows; the caller
+// holds the lock. covered is the number of hosts that report to it.
+func (g *Gossip) isPrimary(covered int, now time.Time) bool {
+	for _, p := range g.peers {
+		if p.domain != g.Domain || now.Sub(p.primaryAt) > primaryTimeout {
+			continue
+		}
+		if outranks(p.name, p.cores, g.Self, g.Cores) || float64(covered) < takeoverShare*float64(p.domainHosts) {
+			return false
+		}
+	}
+	return true
+}
+
+// follows reports whether the peer is the relay whose sums this host takes; the caller holds the lock.
+func (g *Gossip) follows(relay *peer, isPrimary bool, now time.Time) bool {
+	for _, p := range g.peers {
+		if p == relay || p.domain != g.Domain || now.Sub(p.primaryAt) > primaryTimeout {
+			continue
+		}
+		if !isPrimary || outranks(p.name, p.cores, relay.name, relay.cores) {
+			return false
+		}
+	}
+	return true
+}
+
+// lacksRelay reports whether this host reports to relays and hears none.
+func (g *Gossip) lacksRelay() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return g.isRelayed(now) && now.Sub(g.summedAt) > relayTimeout/2
+}
+
+// mustRegister reports whether this host registers in the store: in large deployments the first of each failure domain do,
+// and those that know no other host.
+func (g *Gossip) mustRegister() bool {
+	hasPeers := !g.hasNoRecentPeer()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if !hasPeers || !g.isRelayed(now) {
+		return true
+	}
+	before := 0
+	for _, p := range g.ranked(g.Domain, now) {
+		if outranks(p.name, p.cores, g.Self, g.Cores) {
+			before++
+		}
+	}
+	return before < registeredPerDomain
+}
+
+// record keeps a digest's counts, which a relay's sums include later.
+func (g *Gossip) record(sequence uint64, d Digest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.own, g.wasReading = countsOf(d.Loads, d.Services), d.Reading
+	g.history.Add(sequence, g.own)
+}
+
+// rank returns this host's position among the live hosts and their number; false unless a recent sum states it.
+func (g *Gossip) rank() (position, hosts int, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if !g.isRelayed(now) || now.Sub(g.summedAt) > unresponsiveAfter || g.liveHosts < 1 {
+		return 0, 0, false
+	}
+	return g.position, g.liveHosts, true
+}
+
+// fleet is what this host knows of all others in a large deployment.
+type fleet struct {
+	incarnation int64
+	wasRelayed  bool
+	wasReading  bool
+	// mustReset is set until loads that arrived in the earlier way are dropped.
+	mustReset bool
+	// own are the counts of this host's last digest, history those of earlier ones.
+	own     tally.Counts
+	history tally.History
+	// domains are the sums over other failure domains, while this host is a relay; domainHosts counts their hosts.
+	domains     tally.Sources
+	domainHosts map[string]int
+	// others are the counts of all other hosts, as of summedAt.
+	others   tally.Counts
+	summedAt time.Time
+	// position is this host's rank among liveHosts.
+	position  int
+	liveHosts int
+	// parts is the number of parts in which the sum of loads is kept in the pool.
+	parts int
+	// isRelay reports whether others report to this host; sequence numbers its summaries, ticks counts its periods.
+	isRelay  bool
+	sequence uint64
+	ticks    int
+}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -8,19 +8,25 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tarragonspur/tarragonspur/internal/tally"
 )
 
 // broadcast sends this host's digest to the others until ctx ends.
 func (g *Gossip) broadcast(ctx context.Context, socket *net.UDPConn) {
-	incarnation := time.Now().UnixMilli()
 	sequence := uint64(0)
 	var last Digest
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
+	relayTicker := time.NewTicker(relayPeriod)
+	defer relayTicker.Stop()
 	for {
 		isUrgent := false
 		select {
 		case <-ticker.C:
+		case <-relayTicker.C:
+			g.relay(socket)
+			continue
 		case <-g.wake:
 			isUrgent = true
 		case <-ctx.Done():
@@ -30,8 +36,9 @@
 		if !reflect.DeepEqual(d, last) {
 			last = d
 			sequence++
+			g.record(sequence, d)
 		}
-		d.Incarnation, d.Sequence = incarnation, sequence
+		d.Incarnation, d.Sequence = g.incarnation, sequence
 		g.write(socket, d, g.due(sequence, isUrgent))
 		g.expire()
 	}
@@ -39,12 +46,21 @@
 
 func (g *Gossip) digest() Digest {
 	g.mu.Lock()
-	d := Digest{Host: g.Self, Region: g.Region, Cores: g.Cores, Leaving: g.leaving}
+	d := Digest{Host: g.Self, Domain: g.Domain, Region: g.Region, Cores: g.Cores, Leaving: g.leaving}
 	g.mu.Unlock()
 	d.Reading = g.IsReading()
 	d.Loads = loadsOf(g.Pool.LocalLoads())
 	d.Crashes = g.Crashes.Own()
-	d.Sends = sendsOf(g.Budget.LocalCounts())
+	services := make(map[string]tally.Service)
+	for name, c := range g.Budget.LocalCounts() {
+		services[name] = tally.Service{SendCounts: c}
+	}
+	for name, b := range g.Queue.Locals() {
+		s := services[name]
+		s.Backlog = b
+		services[name] = s
+	}
+	d.Services = servicesOf(services)
 	return d
 }
 
@@ -53,7 +69,7 @@
 	if len(to) == 0 {
 		return
 	}
-	payload, err := cbor.Marshal(d)
+	payload, err := cbor.Marshal(message{Digest: &d})
 	if err != nil || len(payload) > maxDatagram {
 		g.Log.Error("digest not sent", "bytes", len(payload), "error", err)
 		return
@@ -70,6 +86,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	if g.isRelayed(now) {
+		return g.dueAtRelays(now, sequence, isUrgent)
+	}
 	interval := period * time.Duration(1+len(g.peers)/hostsPerPeriod)
 	var due []netip.AddrPort
 	for _, p := range g.peers {
--- /dev/null
+++ b/internal/gossip/summary.go
@@ -0,0 +1,326 @@
+package gossip
+
+import (
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/tally"
+)
+
+// maxSummaryLoads is the number of backend servers in one part of a summary; about 25 bytes each.
+const maxSummaryLoads = 220
+
+// parcel is an encoded summary and its recipients.
+type parcel struct {
+	summary Summary
+	to      []recipient
+}
+
+// recipient is a host that receives a summary; incarnation, included and rank are set for global ones.
+type recipient struct {
+	address     netip.AddrPort
+	incarnation int64
+	included    uint64
+	rank        int
+}
+
+// relay sends summaries if other hosts report to this one, and takes their sums for its own placement.
+func (g *Gossip) relay(socket *net.UDPConn) {
+	now := time.Now()
+	marks := g.Crashes.Recent()
+	g.mu.Lock()
+	if !g.isRelayed(now) {
+		mustReset := g.mustReset
+		g.mustReset = false
+		g.mu.Unlock()
+		if mustReset {
+			g.setParts(0)
+		}
+		return
+	}
+	dropped := g.droppedPeers()
+	reporters := g.reportingHosts(now)
+	wasRelay := g.isRelay
+	g.isRelay = len(reporters) > 0
+	if !g.isRelay {
+		g.mu.Unlock()
+		g.dropLoads(dropped)
+		return
+	}
+	if !wasRelay {
+		g.Log.Info("host relays sums", "domain", g.Domain, "hosts", len(reporters))
+	}
+	domain := g.reporters.Sum(now)
+	outside := g.domains.Sum(now)
+	g.others, g.summedAt = tally.Counts{}, now
+	g.others.Add(domain)
+	g.others.Add(outside)
+	g.liveHosts = g.others.Hosts + 1
+	parcels := g.parcels(domain, reporters, marks, now)
+	loads := g.others.Loads
+	g.mu.Unlock()
+	g.dropLoads(dropped)
+	g.setParts(1)
+	g.Pool.SetRemoteLoads(partName(0), loads)
+	for _, p := range parcels {
+		g.writeSummary(socket, p)
+	}
+}
+
+// droppedPeers returns the hosts whose single loads no longer count, once after the way of the digests has changed; the
+// caller holds the lock.
+func (g *Gossip) droppedPeers() []string {
+	if !g.mustReset {
+		return nil
+	}
+	g.mustReset = false
+	return slices.Collect(maps.Keys(g.peers))
+}
+
+func (g *Gossip) dropLoads(hosts []string) {
+	for _, name := range hosts {
+		g.Pool.SetRemoteLoads(name, nil)
+	}
+}
+
+// reportingHosts returns the hosts that report to this one, by name; the caller holds the lock.
+func (g *Gossip) reportingHosts(now time.Time) []*peer {
+	var all []*peer
+	for _, p := range g.peers {
+		if g.isReporting(p, now) {
+			all = append(all, p)
+		}
+	}
+	slices.SortFunc(all, func(a, b *peer) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// parcels builds the summaries that are due; the caller holds the lock.
+func (g *Gossip) parcels(others tally.Counts, reporters []*peer, marks []crash.Mark, now time.Time) []parcel {
+	isPrimary := g.isPrimary(len(reporters)+1, now)
+	g.ticks++
+	if !isPrimary && g.ticks%secondaryPeriods != 0 {
+		return nil
+	}
+	var domain, total tally.Counts
+	domain.Add(g.own)
+	domain.Add(others)
+	domain.Hosts, domain.Known = others.Hosts+1, others.Known+1
+	total.Add(g.own)
+	total.Add(g.others)
+	total.Hosts, total.Known = g.others.Hosts+1, g.others.Known+1
+	members := g.domainMembers(now)
+	inside := Summary{Host: g.Self, Incarnation: g.incarnation, Domain: g.Domain, Crashes: marks, IsPrimary: isPrimary, DomainHosts: domain.Hosts, Members: members}
+	outside := inside
+	inside.IsGlobal, inside.Members = true, append(slices.Clone(members), g.foreignMembers(now)...)
+
+	first := 0
+	for name, hosts := range g.domainHosts {
+		if name < g.Domain {
+			first += hosts
+		}
+	}
+	var toHosts []recipient
+	g.position = first
+	for _, p := range reporters {
+		rank := first + len(toHosts)
+		if p.name > g.Self {
+			rank++
+		} else {
+			g.position = rank + 1
+		}
+		toHosts = append(toHosts, recipient{p.address, p.incarnation, p.sequence, rank})
+	}
+	var toRelays []recipient
+	for _, p := range g.foreignRelays(now) {
+		p.asked(now)
+		toRelays = append(toRelays, recipient{address: p.address})
+	}
+	return append(g.split(inside, total, toHosts), g.split(outside, domain, toRelays)...)
+}
+
+// split fills the counts into a summary, in as many parts as its loads need; the caller holds the lock.
+func (g *Gossip) split(s Summary, c tally.Counts, to []recipient) []parcel {
+	loads := loadsOf(c.Loads)
+	s.Services, s.Hosts, s.Known = servicesOf(c.Services), c.Hosts, c.Known
+	s.Parts = max(1, (len(loads)+maxSummaryLoads-1)/maxSummaryLoads)
+	var all []parcel
+	for part := range s.Parts {
+		s.Part = part
+		s.Loads = loads[part*len(loads)/s.Parts : (part+1)*len(loads)/s.Parts]
+		g.sequence++
+		s.Sequence = g.sequence
+		all = append(all, parcel{s, to})
+		s.Services, s.Crashes, s.Members = nil, nil, nil
+	}
+	return all
+}
+
+// domainMembers returns the relays and readers of this failure domain, this host included; the caller holds the lock.
+func (g *Gossip) domainMembers(now time.Time) []Introduction {
+	own := g.ownIntroduction()
+	own.Reading = g.wasReading
+	members := []Introduction{own}
+	kept := 0
+	for _, p := range g.ranked(g.Domain, now) {
+		if now.Sub(p.lastSeen) > unresponsiveAfter || kept >= registeredPerDomain && !p.reading {
+			continue
+		}
+		kept++
+		members = append(members, p.introduction(now))
+	}
+	return members
+}
+
+// foreignMembers returns the relays and readers of other failure domains; the caller holds the lock.
+func (g *Gossip) foreignMembers(now time.Time) []Introduction {
+	var members []Introduction
+	for _, p := range g.peers {
+		if p.domain != g.Domain && p.isMember && now.Sub(p.lastSeen) < unresponsiveAfter {
+			members = append(members, p.introduction(now))
+		}
+	}
+	return members
+}
+
+// foreignRelays returns the relays of other failure domains; the caller holds the lock.
+func (g *Gossip) foreignRelays(now time.Time) []*peer {
+	domains := make(map[string]bool)
+	for _, p := range g.peers {
+		if p.domain != g.Domain && p.domain != "" {
+			domains[p.domain] = true
+		}
+	}
+	var relays []*peer
+	for domain := range domains {
+		relays = append(relays, g.relaysOf(domain, now)...)
+	}
+	return relays
+}
+
+// writeSummary sends a summary to its recipients; errors are logged or ignored.
+func (g *Gossip) writeSummary(socket *net.UDPConn, p parcel) {
+	encoded, err := cbor.Marshal(p.summary)
+	if err != nil {
+		g.Log.Error("summary not sent", "error", err)
+		return
+	}
+	for _, to := range p.to {
+		payload, err := cbor.Marshal(message{Summary: encoded, Incarnation: to.incarnation, Included: to.included, Rank: to.rank})
+		if err != nil || len(payload) > maxDatagram {
+			g.Log.Error("summary not sent", "bytes", len(payload), "error", err)
+			return
+		}
+		// Datagrams may be lost anyway; the next summary makes up for it.
+		_, _ = socket.WriteToUDPAddrPort(payload, to.address)
+	}
+}
+
+// applySummary applies a relay's summary unless it is older than the last one.
+func (g *Gossip) applySummary(m message, s Summary, from netip.AddrPort) {
+	now := time.Now()
+	g.mu.Lock()
+	p := g.addPeer(s.Host, from)
+	if s.Incarnation < p.summaryIncarnation || s.Incarnation == p.summaryIncarnation && s.Sequence <= p.summarySequence {
+		g.mu.Unlock()
+		return
+	}
+	p.summaryIncarnation, p.summarySequence = s.Incarnation, s.Sequence
+	p.domain, p.lastSeen, p.unresponsive, p.relayedAt = s.Domain, now, false, now
+	p.heard()
+	if s.IsPrimary {
+		p.primaryAt, p.domainHosts = now, s.DomainHosts
+	}
+	for _, member := range s.Members {
+		g.addMember(member, true, now)
+		if known := g.peers[member.Host]; known != nil {
+			known.isMember = true
+		}
+	}
+	g.discovered = true
+	c := countsOf(s.Loads, s.Services)
+	c.Hosts, c.Known = s.Hosts, s.Known
+	loads, isApplied := map[string]pool.Load(nil), false
+	switch {
+	case !s.IsGlobal && s.Domain != g.Domain:
+		g.applyDomain(s, c, p, now)
+	case s.IsGlobal && s.Domain == g.Domain:
+		loads, isApplied = g.applyGlobal(m, s, c, p, now)
+	}
+	g.mu.Unlock()
+	if isApplied {
+		g.setParts(s.Parts)
+		g.Pool.SetRemoteLoads(partName(s.Part), loads)
+	}
+	g.Crashes.Merge(s.Crashes)
+}
+
+// applyDomain keeps the sum over another failure domain; the caller holds the lock.
+func (g *Gossip) applyDomain(s Summary, c tally.Counts, from *peer, now time.Time) {
+	for _, p := range g.peers {
+		if p != from && p.domain == s.Domain && now.Sub(p.primaryAt) < primaryTimeout && (!s.IsPrimary || outranks(p.name, p.cores, from.name, from.cores)) {
+			return
+		}
+	}
+	if s.Part > 0 {
+		c.Hosts, c.Known, c.Services = 0, 0, nil
+	} else {
+		if g.domainHosts == nil {
+			g.domainHosts = make(map[string]int)
+		}
+		g.domainHosts[s.Domain] = s.Hosts
+	}
+	g.domains.Put(s.Domain+"/"+strconv.Itoa(s.Part), c, now)
+}
+
+// applyGlobal keeps the sum over all hosts less this host's own part, and returns the loads of the others; false if the sum
+// is not the one to follow. The caller holds the lock.
+func (g *Gossip) applyGlobal(m message, s Summary, c tally.Counts, from *peer, now time.Time) (map[string]pool.Load, bool) {
+	if g.isRelay || m.Incarnation != g.incarnation || !g.follows(from, s.IsPrimary, now) {
+		return nil, false
+	}
+	own, found := g.history.At(m.Included)
+	if !found {
+		return nil, false
+	}
+	for id, l := range own.Loads {
+		if sum, listed := c.Loads[id]; listed {
+			c.Loads[id] = pool.Load{
+				Runs: sum.Runs - l.Runs, Tokens: sum.Tokens - l.Tokens, PendingPromptTokens: sum.PendingPromptTokens - l.PendingPromptTokens,
+			}
+		}
+	}
+	if s.Part == 0 {
+		others := tally.Counts{Services: c.Services, Hosts: c.Hosts, Known: c.Known}
+		others.Subtract(tally.Counts{Services: own.Services, Hosts: 1, Known: 1})
+		g.others, g.summedAt, g.position, g.liveHosts = others, now, m.Rank, s.Hosts
+	}
+	return c.Loads, true
+}
+
+// setParts sets the number of parts in which the pool keeps the sum of the other hosts' loads.
+func (g *Gossip) setParts(n int) {
+	g.mu.Lock()
+	before := g.parts
+	g.parts = n
+	g.mu.Unlock()
+	for i := n; i < before; i++ {
+		g.Pool.SetRemoteLoads(partName(i), nil)
+	}
+}
+
+// partName is the name under which the pool keeps a part of the sum; no host has it.
+func partName(part int) string { return "sum/" + strconv.Itoa(part) }
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -39,6 +40,8 @@
 	failureCost = 1500.0
 	// coldCost ranks a cold backend server behind warm ones.
 	coldCost = 120.0
+	// spreadPerUnseen is the number of servers that a choice is spread over for each unseen claim.
+	spreadPerUnseen = 2.0
 	// jitterCost makes hosts with equal views choose differently.
 	jitterCost = 4.0
 )
@@ -111,10 +114,16 @@
 	return p.lease(best, Load{Runs: 1, Tokens: a.Tokens, PendingPromptTokens: a.Prompt}, now), nil
 }
 
-// cheapest returns the eligible backend server with the lowest cost, and the one among those within the limits that did not
-// fail recently; nil if there is none.
+// cheapest returns the eligible backend server with the lowest cost, and one with a low cost among those within the limits
+// that did not fail recently; nil if there is none.
 func (p *Pool) cheapest(a Requirements, now time.Time) (best, fitting *entry) {
-	lowest, lowestFitting := math.Inf(1), math.Inf(1)
+	type candidate struct {
+		*entry
+
+		cost float64
+	}
+	lowest := math.Inf(1)
+	var candidates []candidate
 	for _, e := range p.order {
 		if !p.isEligible(e, a, now) {
 			continue
@@ -123,11 +132,25 @@
 		if c < lowest {
 			best, lowest = e, c
 		}
-		if c < lowestFitting && !e.isSuspect(now) && p.isWithinLimits(e, a) {
-			fitting, lowestFitting = e, c
+		if !e.isSuspect(now) && p.isWithinLimits(e, a) {
+			candidates = append(candidates, candidate{e, c})
 		}
 	}
-	return best, fitting
+	if len(candidates) == 0 {
+		return best, nil
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	i := int(p.jitter() * min(float64(len(candidates)), p.spread(a)))
+	return best, candidates[min(i, len(candidates)-1)].entry
+}
+
+// spread returns the number of backend servers that a choice is spread over. Hosts with the same old view would all choose
+// the one that has just become free: about twice as many servers are considered as claims are unseen.
+func (p *Pool) spread(a Requirements) float64 {
+	if p.Unseen == nil || a.Service.Engine == nil {
+		return 1
+	}
+	return 1 + spreadPerUnseen*p.Unseen(a.Service.Name)
 }
 
 func (a Requirements) hasLimits() bool { return a.MaxMemoryUse > 0 && a.Service.Engine != nil }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -28,6 +28,9 @@
 	ColdShare func(server string, perSecond float64) float64
 	// OnClaim is called after each successful Choose; may be nil.
 	OnClaim func()
+	// Unseen returns the expected number of claims by other hosts for a service that their loads don't include yet; nil means
+	// none.
+	Unseen func(service string) float64
 	// Jitter returns a number from 0 to 1 that makes hosts with equal views choose differently; nil means random.
 	Jitter func() float64
 
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -135,14 +135,15 @@
 
 func newCrashes(log *slog.Logger) *crash.Table { return &crash.Table{Log: log} }
 
-func newGossip(s config.Settings, st *platform.Store, p *pool.Pool, t *crash.Table, log *slog.Logger) *gossip.Gossip {
+func newGossip(s config.Settings, st *platform.Store, p *pool.Pool, t *crash.Table, w *queue.Queue, log *slog.Logger) *gossip.Gossip {
 	g := gossip.New()
-	g.Self, g.Region, g.Address, g.Cores = s.Host, s.Region, s.Peers, s.Platform.Cores
+	g.Self, g.Domain, g.Region, g.Address, g.Cores = s.Host, s.Domain, s.Region, s.Peers, s.Platform.Cores
+	g.Queue, w.Remote = w, g
 	g.Registry, g.Pool, g.Crashes, g.Log = platform.Hosts{Store: st}, p, t, log
 	for _, seed := range s.Platform.Seeds {
 		g.Seeds = append(g.Seeds, netip.AddrPortFrom(seed.Addr(), s.Peers.Port()))
 	}
-	p.OnClaim = g.BroadcastNow
+	p.OnClaim, p.Unseen = g.BroadcastNow, g.Unseen
 	p.ColdShare = func(server string, perSecond float64) float64 { return g.ColdShare(server, coldOvercommit*perSecond) }
 	return g
 }
--- a/internal/site/gauges.go
+++ b/internal/site/gauges.go
@@ -45,7 +45,7 @@
 			}
 			return float64(runs)
 		}},
-		{"hosts_heard", "Hosts heard lately, this one included.", func() float64 { return float64(len(s.Gossip.LiveHosts())) }},
+		{"hosts_heard", "Hosts heard lately, this one included.", func() float64 { return float64(s.Gossip.LiveCount()) }},
 		{"reads_for_others", "1 while this host reads the store for its region.", func() float64 {
 			if _, otherReads := s.Gossip.Reader(); otherReads || !s.Gossip.IsReading() {
 				return 0
--- /dev/null
+++ b/internal/tally/tally.go
@@ -0,0 +1,147 @@
+// Package tally adds up the loads and counts of many hosts, so that few relays can pass on sums instead of every host
+// sending its state to every other one.
+package tally
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tarragonspur/tarragonspur/internal/budget"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/queue"
+)
+
+// Service holds the counts of one service.
+type Service struct {
+	budget.SendCounts
+	queue.Backlog
+}
+
+// Counts is the state of one host, or the sum of several.
+type Counts struct {
+	// Loads are the loads on backend servers by ID, Services the counts by service.
+	Loads    map[string]pool.Load
+	Services map[string]Service
+	// Hosts is the number of live hosts, Known the number that divided budgets count.
+	Hosts int
+	Known int
+}
+
+// Add adds other counts.
+func (c *Counts) Add(o Counts) { c.combine(o, 1) }
+
+// Subtract subtracts other counts.
+func (c *Counts) Subtract(o Counts) { c.combine(o, -1) }
+
+func (c *Counts) combine(o Counts, sign int) {
+	if c.Loads == nil {
+		c.Loads = make(map[string]pool.Load, len(o.Loads))
+	}
+	for id, l := range o.Loads {
+		sum := c.Loads[id]
+		sum.Runs += sign * l.Runs
+		sum.Tokens += sign * l.Tokens
+		sum.PendingPromptTokens += sign * l.PendingPromptTokens
+		c.Loads[id] = sum
+	}
+	if c.Services == nil {
+		c.Services = make(map[string]Service, len(o.Services))
+	}
+	for name, s := range o.Services {
+		sum := c.Services[name]
+		sum.SendCounts.Arrivals += sign * s.SendCounts.Arrivals
+		sum.Retries += sign * s.Retries
+		sum.Waiting += sign * s.Waiting
+		sum.Backlog.Arrivals += float64(sign) * s.Backlog.Arrivals
+		sum.Starts += float64(sign) * s.Starts
+		c.Services[name] = sum
+	}
+	c.Hosts += sign * o.Hosts
+	c.Known += sign * o.Known
+}
+
+// Sources holds the latest counts of several sources, hosts or sums of hosts. It is not safe for concurrent use.
+type Sources struct {
+	// MaxAge is the time without news after which a source's loads are dropped; its requests have ended with it.
+	MaxAge time.Duration
+	// MaxKnownAge is the time after which its hosts no longer count for divided budgets.
+	MaxKnownAge time.Duration
+
+	all map[string]source
+}
+
+type source struct {
+	Counts
+
+	at time.Time
+}
+
+// Put replaces the counts of a source.
+func (s *Sources) Put(name string, c Counts, now time.Time) {
+	if s.all == nil {
+		s.all = make(map[string]source)
+	}
+	s.all[name] = source{Counts: c, at: now}
+}
+
+// Sum returns the sum of all sources with recent news.
+func (s *Sources) Sum(now time.Time) Counts {
+	var sum Counts
+	for name, c := range s.all {
+		switch age := now.Sub(c.at); {
+		case age <= s.MaxAge:
+			sum.Add(c.Counts)
+		case age <= s.MaxKnownAge:
+			sum.Known += c.Known
+		default:
+			delete(s.all, name)
+		}
+	}
+	return sum
+}
+
+// Live returns the number of sources with recent news.
+func (s *Sources) Live(now time.Time) int {
+	n := 0
+	for _, c := range s.all {
+		if now.Sub(c.at) <= s.MaxAge {
+			n++
+		}
+	}
+	return n
+}
+
+// Clear forgets all sources.
+func (s *Sources) Clear() { clear(s.all) }
+
+// maxHistory bounds the states that a History keeps.
+const maxHistory = 128
+
+// History keeps what this host has sent, so that it can subtract its own part from a sum that includes it.
+type History struct {
+	sent []sent
+}
+
+type sent struct {
+	Counts
+
+	sequence uint64
+}
+
+// Add records the counts sent with a sequence number, which grows.
+func (h *History) Add(sequence uint64, c Counts) {
+	if len(h.sent) >= maxHistory {
+		h.sent = h.sent[1:]
+	}
+	h.sent = append(h.sent, sent{Counts: c, sequence: sequence})
+}
+
+// At returns the counts sent with a sequence number; false if they are not known.
+func (h *History) At(sequence uint64) (Counts, bool) {
+	i, found := slices.BinarySearchFunc(h.sent, sequence, func(s sent, sequence uint64) int { return cmp.Compare(s.sequence, sequence) })
+	if !found {
+		return Counts{}, false
+	}
+	return h.sent[i].Counts, true
+}
