feat(queue,cause): arrivals and starts count requests once; explain tells of waits

Cause: sends to crashed engines that failed at once counted as starts, so a refusal's Retry-After was too early. Change: a start is an answer's beginning, a retry is no arrival. explain tells how long a late or refused request waited.

--- a/internal/cause/outcomes.go
+++ b/internal/cause/outcomes.go
@@ -115,6 +115,8 @@
 			return fmt.Sprintf("%s: it was last confirmed %s before, and the store was lost", message, end.Fields["table_age"])
 		}
 		return fmt.Sprintf("%s: it was last confirmed %s before", message, end.Fields["table_age"])
+	case "overloaded":
+		return q.explainOverload(message)
 	case "no_backend":
 		return q.explainNoBackend(end, message)
 	case "draining":
@@ -137,6 +139,16 @@
 	return fmt.Sprintf("%s: the host had started %.1f s before", message, end.At.Sub(l.At).Seconds())
 }
 
+// explainOverload explains a refusal by the queue of the request's host.
+func (q *analysis) explainOverload(message string) string {
+	l, ok := q.lastLine("wait ended")
+	if !ok {
+		return message
+	}
+	return fmt.Sprintf("%s: after %s at its host %s requests waited, %s a second arrived and %s a second were started; its caller was to return after %s",
+		message, l.Fields["waited"], l.Fields["waiting"], l.Fields["arrivals_per_s"], l.Fields["starts_per_s"], l.Fields["retry_after"])
+}
+
 func (q *analysis) explainNoBackend(end Line, message string) string {
 	if n := q.count("send failed"); n > 0 {
 		l, _ := q.lastLine("send failed")
@@ -180,8 +192,12 @@
 	sent, isStream := q.lastLine("stream sent")
 	switch end.Fields["late"] {
 	case "first event":
-		return fmt.Sprintf("the first event came after %s; when it was sent to %s, %s prompt tokens were not read there and %s tokens of memory were held",
-			end.Fields["first_event"], sent.Fields["server"], sent.Fields["pending"], sent.Fields["held"])
+		waited := ""
+		if l, ok := q.lastLine("wait ended"); ok {
+			waited = fmt.Sprintf(", after it had waited %s at its host since all backend servers were busy", l.Fields["waited"])
+		}
+		return fmt.Sprintf("the first event came after %s; when it was sent to %s%s, %s prompt tokens were not read there and %s tokens of memory were held",
+			end.Fields["first_event"], sent.Fields["server"], waited, sent.Fields["pending"], sent.Fields["held"])
 	case "pause":
 		if end.Fields["moves"] == "0" {
 			return fmt.Sprintf("a pause of %s before event %s at backend server %s, which had put the run back", end.Fields["longest_gap"], end.Fields["gap_before"], end.Fields["server"])
--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -69,7 +69,7 @@
 	r := queue.Request{
 		Arrived: q.arrived, Deadline: q.deadline, LatencyTarget: q.route.LatencyTarget, EventGapTarget: q.route.EventGapTarget,
 		Priority: q.route.Priority, Prefill: q.Pool.PrefillTime(q.service.Name, q.Prompt), Output: time.Duration(output) * outputTokenTime,
-		IsShort: output < longOutputTokens,
+		IsShort: output < longOutputTokens, IsRetry: len(q.tried) > 0,
 	}
 	if q.workspace != nil && q.workspace.Priority != nil {
 		r.Priority = *q.workspace.Priority
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -170,6 +170,7 @@
 	if !s.started {
 		s.started = true
 		from.lease.PrefillDone(time.Now())
+		s.Queue.Started(s.service.Name)
 		s.Meter.FirstEvent(time.Since(s.arrived))
 		s.writeHead(from.status, from.header)
 	}
--- a/internal/queue/crowd_test.go
+++ b/internal/queue/crowd_test.go
@@ -206,6 +206,7 @@
 func (c *crowd) firstEvent(r *simRun) {
 	r.started, r.nextEvent = true, c.Now().Add(eventTime)
 	r.lease.PrefillDone(c.Now())
+	c.queue.Started("model")
 	if c.Now().Sub(r.arrived) <= latencyTarget {
 		c.onTime++
 		c.onTimeAt[int(r.arrived.Sub(start)/time.Second)]++
--- a/internal/queue/decide.go
+++ b/internal/queue/decide.go
@@ -53,6 +53,8 @@
 	Output time.Duration
 	// IsShort reports whether the output is short.
 	IsShort bool
+	// IsRetry reports whether the request has been sent before, so that it is not counted as an arrival again.
+	IsRetry bool
 }
 
 // Limits bound the load of a backend server that may receive a request.
@@ -115,7 +117,7 @@
 type Backlog struct {
 	// Waiting is the number of requests that wait.
 	Waiting int
-	// Arrivals and Starts are rates, in requests a second.
+	// Arrivals and Starts are the rates at which requests arrive and their answers begin, in requests a second.
 	Arrivals float64
 	Starts   float64
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -112,7 +112,9 @@
 	defer q.mu.Unlock()
 	now := q.Now()
 	l := q.line(service)
-	l.arrivals.add(now)
+	if !r.IsRetry {
+		l.arrivals.add(now)
+	}
 	e := &entry{Request: r, attempt: attempt, group: group, done: make(chan struct{})}
 	l.entries = append(l.entries, e)
 	q.waiting++
@@ -129,6 +131,13 @@
 	return e, nil
 }
 
+// Started records that a backend server has begun to answer a request of the service.
+func (q *Queue) Started(service string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.line(service).starts.add(q.Now())
+}
+
 // poll reconsiders a service's waiting requests, at most once in a poll interval, whichever of them asks.
 func (q *Queue) poll(service string) {
 	q.mu.Lock()
@@ -149,9 +158,6 @@
 		if b, found := busy[e.group]; !found || limits.Delay > b.Delay || limits.MemoryUse > b.MemoryUse {
 			err := e.attempt(limits)
 			if !errors.Is(err, ErrBusy) {
-				if err == nil {
-					l.starts.add(now)
-				}
 				q.end(l, e, err)
 				continue
 			}
