--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -14,6 +14,9 @@
 const (
 	// copyRetryDelay is the minimum time between a failed copy on demand and the next one.
 	copyRetryDelay = 60 * time.Millisecond
+	// maxOverlap bounds the time in which a run is at work at its source and, without an event yet, at its copy. With the
+	// period of the checks it stays below the 400 ms that the platform allows.
+	maxOverlap = 250 * time.Millisecond
 	// prefillWait bounds how long after a shutdown notice a migration waits until its target has finished pending prefills:
 	// these double the time between events. The shortest notices leave 1.5 s.
 	prefillWait = 900 * time.Millisecond
@@ -118,13 +121,22 @@
 		s.handleOpened(openResult{err: err})
 		return
 	}
-	s.isOpening = true
+	s.isOpening, s.openingSince = true, time.Now()
 	go func() {
 		f, err := s.openFromCopy(s.ctx, lease, metadata)
 		s.openResults <- openResult{upstream: f, err: err}
 	}()
 }
 
+// boundOverlap stops the current run if the next one has not made an event for a while: both may be at work until then.
+func (s *session) boundOverlap() error {
+	if !s.isOpening && s.next == nil || time.Since(s.openingSince) < maxOverlap {
+		return nil
+	}
+	s.log.Info("source stopped before its copy made an event", "from", s.current.lease.Server.ID, "after", time.Since(s.openingSince), "last_event", s.lastNumber)
+	return s.replaceCurrent(errors.Newf("the copy made no event within %s", maxOverlap))
+}
+
 // claimCopy replaces a copy's memory claim by a lease for the run and returns it with the metadata of the send.
 func (s *session) claimCopy(sb *standby) (*pool.Lease, ForwardMetadata, error) {
 	sb.releaseClaim()
@@ -193,6 +205,12 @@
 		s.checkForCrash(broken.lease.Server)
 	}
 	s.log.Info("stream broke", "server", broken.lease.Server.ID, "last_event", s.lastNumber, "error", cause)
+	return s.replaceCurrent(cause)
+}
+
+// replaceCurrent closes the current upstream and continues the stream on another one.
+func (s *session) replaceCurrent(cause error) error {
+	broken := s.current
 	sb := broken.standby
 	broken.standby = nil
 	s.request.close(broken)
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -39,8 +39,10 @@
 	// openResults and copyResults carry the results of the goroutines that run while isOpening and isCopying are set.
 	openResults chan openResult
 	isOpening   bool
-	copyResults chan copyResult
-	isCopying   bool
+	// openingSince is when the request was sent to the backend server of the next upstream.
+	openingSince time.Time
+	copyResults  chan copyResult
+	isCopying    bool
 	// leavingSince is when a migration of the run became due; zero while none waits.
 	leavingSince time.Time
 	// nextCopyAt is the earliest time of the next copy on demand after a failed one.
@@ -131,6 +133,9 @@
 		case c := <-s.copyResults:
 			s.handleCopied(c)
 		case <-ticker.C:
+			if err := s.boundOverlap(); err != nil {
+				return err
+			}
 		case <-s.ctx.Done():
 			return s.cutError(s.ctx.Err())
 		}
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -18,6 +18,8 @@
 	relaysPerDomain = 2
 	// registeredPerDomain is the number of hosts of a failure domain that register in the store; the seeds know the others.
 	registeredPerDomain = 3
+	// readersPerDomain is the number of hosts reading the store that relays name of a failure domain.
+	readersPerDomain = 2
 	// relayPeriod is the interval of a primary relay's summaries.
 	relayPeriod = 20 * time.Millisecond
 	// secondaryPeriods is the number of periods between the summaries of other relays, which only show that they live.
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -174,12 +174,24 @@
 	own := g.ownIntroduction()
 	own.Reading = g.wasReading
 	members := []Introduction{own}
-	kept := 0
-	for _, p := range g.ranked(g.Domain, now) {
-		if now.Sub(p.lastSeen) > unresponsiveAfter || kept >= registeredPerDomain && !p.reading {
+	return append(members, g.membersOf(g.Domain, now)...)
+}
+
+// membersOf returns the first hosts in rank of a failure domain, and the first of those that read the store; the caller holds
+// the lock.
+func (g *Gossip) membersOf(domain string, now time.Time) []Introduction {
+	var members []Introduction
+	readers := 0
+	for _, p := range g.ranked(domain, now) {
+		isFirst := len(members)-readers < registeredPerDomain
+		switch {
+		case now.Sub(p.lastSeen) > unresponsiveAfter || domain != g.Domain && !p.isMember:
+			continue
+		case p.reading && readers < readersPerDomain:
+			readers++
+		case !isFirst:
 			continue
 		}
-		kept++
 		members = append(members, p.introduction(now))
 	}
 	return members
@@ -188,24 +200,27 @@
 // foreignMembers returns the relays and readers of other failure domains; the caller holds the lock.
 func (g *Gossip) foreignMembers(now time.Time) []Introduction {
 	var members []Introduction
-	for _, p := range g.peers {
-		if p.domain != g.Domain && p.isMember && now.Sub(p.lastSeen) < unresponsiveAfter {
-			members = append(members, p.introduction(now))
-		}
+	for domain := range g.foreignDomains() {
+		members = append(members, g.membersOf(domain, now)...)
 	}
 	return members
 }
 
-// foreignRelays returns the relays of other failure domains; the caller holds the lock.
-func (g *Gossip) foreignRelays(now time.Time) []*peer {
+// foreignDomains returns the other failure domains with hosts; the caller holds the lock.
+func (g *Gossip) foreignDomains() map[string]bool {
 	domains := make(map[string]bool)
 	for _, p := range g.peers {
 		if p.domain != g.Domain && p.domain != "" {
 			domains[p.domain] = true
 		}
 	}
+	return domains
+}
+
+// foreignRelays returns the relays of other failure domains; the caller holds the lock.
+func (g *Gossip) foreignRelays(now time.Time) []*peer {
 	var relays []*peer
-	for domain := range domains {
+	for domain := range g.foreignDomains() {
 		relays = append(relays, g.relaysOf(domain, now)...)
 	}
 	return relays
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -96,7 +97,9 @@
 	// takeoverHosts is the number of hosts above which a host that loses its reader waits up to maxTakeover for another one
 	// to become the reader, so that not all of them call the store.
 	takeoverHosts = 100
-	maxTakeover   = 1500 * time.Millisecond
+	maxTakeover   = 1200 * time.Millisecond
+	// takeoverSkew concentrates these waits at the end, so that few hosts call the store until the first one is known.
+	takeoverSkew = 1.0 / 8
 )
 
 // List returns all documents of a kind; ErrNotReading if this host must not call the store now.
@@ -136,7 +139,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.lostAt.IsZero() {
-		m.lostAt, m.directAt = now, now.Add(time.Duration((0.5+rand.Float64()/2)*float64(maxTakeover)))
+		m.lostAt, m.directAt = now, now.Add(time.Duration(math.Pow(rand.Float64(), takeoverSkew)*float64(maxTakeover)))
 	}
 	return now.Before(m.directAt)
 }
