--- a/internal/front/place_test.go
+++ b/internal/front/place_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,3 +95,31 @@
 	assert.Equal(t, got.status, http.StatusBadGateway)
 	assert.Equal(t, len(r.received()), 1)
 }
+
+// TestRunIsNotAtWorkTwiceForLong migrates a stream to an engine that is slow to its first event.
+func TestRunIsNotAtWorkTwiceForLong(t *testing.T) {
+	r := newRig(t, 4)
+	var resumedAt atomic.Int64
+	for _, e := range r.engines {
+		e.Events, e.Pause = 40, 20*time.Millisecond
+		e.Script = func(_ net.Conn, q *plat.Request) bool {
+			if q.ResumesRun() {
+				resumedAt.Store(time.Now().UnixNano())
+				time.Sleep(900 * time.Millisecond)
+			}
+			return false
+		}
+	}
+	answers := make(chan reply, 1)
+	go func() { answers <- r.do(t, streamRequest("/report/x")) }()
+	source := r.runningEngine(t)
+	time.Sleep(200 * time.Millisecond)
+	r.put(r.index(source), true)
+	eventually(t, "the run to be sent to its copy", func() bool { return resumedAt.Load() != 0 })
+	eventually(t, "the source to be stopped", func() bool { return source.InProgress() == 0 })
+	both := time.Since(time.Unix(0, resumedAt.Load()))
+	assert.Assert(t, both < 400*time.Millisecond, "both were at work for %s", both)
+	got := <-answers
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.text, fullStream(40))
+}
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -15,8 +15,12 @@
 	"github.com/tarragonspur/tarragonspur/internal/tally"
 )
 
-// maxSummaryLoads is the number of backend servers in one part of a summary; about 25 bytes each.
-const maxSummaryLoads = 220
+const (
+	// maxSummaryLoads is the number of backend servers in one part of a summary; about 25 bytes each.
+	maxSummaryLoads = 160
+	// maxSummaryMarks is the number of crash marks in a summary; others follow in later ones.
+	maxSummaryMarks = 40
+)
 
 // parcel is an encoded summary and its recipients.
 type parcel struct {
@@ -36,6 +40,7 @@
 func (g *Gossip) relay(socket *net.UDPConn) {
 	now := time.Now()
 	marks := g.Crashes.Recent()
+	marks = marks[:min(len(marks), maxSummaryMarks)]
 	g.mu.Lock()
 	if !g.isRelayed(now) {
 		mustReset := g.mustReset
--- a/internal/site/gauges.go
+++ b/internal/site/gauges.go
@@ -45,6 +45,13 @@
 			}
 			return float64(runs)
 		}},
+		{"requests_waiting", "Requests that wait at this host until a backend server has room.", func() float64 {
+			waiting := 0
+			for _, b := range s.Front.Queue.Locals() {
+				waiting += b.Waiting
+			}
+			return float64(waiting)
+		}},
 		{"hosts_heard", "Hosts heard lately, this one included.", func() float64 { return float64(s.Gossip.LiveCount()) }},
 		{"reads_for_others", "1 while this host reads the store for its region.", func() float64 {
 			if _, otherReads := s.Gossip.Reader(); otherReads || !s.Gossip.IsReading() {
