--- a/internal/gossip/reader.go
+++ b/internal/gossip/reader.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/tarragonspur/tarragonspur/internal/mirror"
 )
 
@@ -65,7 +63,7 @@
 		if p.region != g.Region || p.leaving || !isEligible(p) || time.Since(p.lastSeen) > readerTimeout {
 			continue
 		}
-		if best == "" || p.cores > cores || p.cores == cores && xxhash.Sum64String(name) > xxhash.Sum64String(best) {
+		if best == "" || outranks(name, p.cores, best, cores) {
 			best, cores = name, p.cores
 		}
 	}
