fix(gossip): relays send the loads that have changed, and members and crash marks five times a second

Cause: a summary held all loads and members, about 7 KB, 50 times a second to each of 49 hosts: 130 Mbit/s of the relay's 200, on the host that also reads the store for its region. Change: a load is sent in three periods after a change and once in eight otherwise; a period is 40 ms again.

--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -81,14 +81,15 @@
 // Summary is the sum over several hosts that a relay sends: over its failure domain to the relays of others, and over all
 // hosts to those of its failure domain.
 type Summary struct {
-	Host        string          `cbor:"1,keyasint"`
-	Incarnation int64           `cbor:"2,keyasint"`
-	Sequence    uint64          `cbor:"3,keyasint"`
-	Domain      string          `cbor:"4,keyasint"`
-	IsGlobal    bool            `cbor:"5,keyasint,omitempty"`
-	Loads       []ServerLoad    `cbor:"6,keyasint,omitempty"`
-	Services    []ServiceCounts `cbor:"7,keyasint,omitempty"`
-	Crashes     []crash.Mark    `cbor:"8,keyasint,omitempty"`
+	Host        string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+	Sequence    uint64 `cbor:"3,keyasint"`
+	Domain      string `cbor:"4,keyasint"`
+	IsGlobal    bool   `cbor:"5,keyasint,omitempty"`
+	// Loads are those that have changed lately and some of the others in turn.
+	Loads    []ServerLoad    `cbor:"6,keyasint,omitempty"`
+	Services []ServiceCounts `cbor:"7,keyasint,omitempty"`
+	Crashes  []crash.Mark    `cbor:"8,keyasint,omitempty"`
 	// Hosts and Known count the live hosts and those that divided budgets count.
 	Hosts int `cbor:"9,keyasint,omitempty"`
 	Known int `cbor:"10,keyasint,omitempty"`
@@ -98,7 +99,6 @@
 	IsPrimary bool `cbor:"12,keyasint,omitempty"`
 	// DomainHosts counts the live hosts of the relay's failure domain.
 	DomainHosts int `cbor:"13,keyasint,omitempty"`
-	// Part numbers the parts of a sum that exceeds a datagram, Parts counts them.
-	Part  int `cbor:"14,keyasint,omitempty"`
-	Parts int `cbor:"15,keyasint,omitempty"`
+	// HasCounts reports whether Services, Hosts, Known and DomainHosts are set; further datagrams of a period hold only loads.
+	HasCounts bool `cbor:"14,keyasint,omitempty"`
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -390,13 +390,13 @@
 			g.Log.Info("host silent", "host", name, "heard", time.Since(p.lastSeen))
 		}
 	}
-	isSumLost := g.parts > 0 && time.Since(g.summedAt) > unresponsiveAfter
+	isSumLost := g.hasSum && time.Since(g.summedAt) > unresponsiveAfter
 	g.mu.Unlock()
 	for _, name := range unresponsive {
 		g.Pool.SetRemoteLoads(name, nil)
 	}
 	if isSumLost {
 		g.Log.Info("sum of the other hosts' loads lost")
-		g.setParts(0)
+		g.dropSum()
 	}
 }
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -21,9 +21,9 @@
 	// readersPerDomain is the number of hosts reading the store that relays name of a failure domain.
 	readersPerDomain = 2
 	// relayPeriod is the interval of a primary relay's summaries.
-	relayPeriod = 20 * time.Millisecond
+	relayPeriod = 40 * time.Millisecond
 	// secondaryPeriods is the number of periods between the summaries of other relays, which only show that they live.
-	secondaryPeriods = 50
+	secondaryPeriods = 25
 	// relayDelay is the mean time until a load reaches the other hosts: up to one period at each of two relays.
 	relayDelay = 3 * relayPeriod / 2
 	// primaryTimeout is the time without a summary after which a primary relay counts as failed.
@@ -232,17 +232,19 @@
 	// own are the counts of this host's last digest, history those of earlier ones.
 	own     tally.Counts
 	history tally.History
-	// domains are the sums over other failure domains, while this host is a relay; domainHosts counts their hosts.
-	domains     tally.Sources
-	domainHosts map[string]int
+	// domains are the sums over other failure domains, while this host is a relay.
+	domains tally.Sources
 	// others are the counts of all other hosts, as of summedAt.
 	others   tally.Counts
 	summedAt time.Time
 	// position is this host's rank among liveHosts.
 	position  int
 	liveHosts int
-	// parts is the number of parts in which the sum of loads is kept in the pool.
-	parts int
+	// hasSum reports whether the pool has the sum of the other hosts' loads.
+	hasSum bool
+	// toHosts and toRelays remember which loads this relay has sent when.
+	toHosts  changes
+	toRelays changes
 	// isRelay reports whether others report to this host; sequence numbers its summaries, ticks counts its periods.
 	isRelay  bool
 	sequence uint64
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/netip"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,6 +17,8 @@
 const (
 	// maxSummaryLoads is the number of backend servers in one part of a summary; about 25 bytes each.
 	maxSummaryLoads = 160
+	// memberPeriods is the number of periods between the summaries that name members and crash marks.
+	memberPeriods = 5
 	// maxSummaryMarks is the number of crash marks in a summary; others follow in later ones.
 	maxSummaryMarks = 40
 )
@@ -47,7 +48,7 @@
 		g.mustReset = false
 		g.mu.Unlock()
 		if mustReset {
-			g.setParts(0)
+			g.dropSum()
 		}
 		return
 	}
@@ -68,13 +69,12 @@
 	g.others, g.summedAt = tally.Counts{}, now
 	g.others.Add(domain)
 	g.others.Add(outside)
-	g.liveHosts = g.others.Hosts + 1
+	g.liveHosts, g.hasSum = g.others.Hosts+1, true
 	parcels := g.parcels(domain, reporters, marks, now)
 	loads := g.others.Loads
 	g.mu.Unlock()
 	g.dropLoads(dropped)
-	g.setParts(1)
-	g.Pool.SetRemoteLoads(partName(0), loads)
+	g.Pool.SetRemoteLoads(sumName, loads)
 	for _, p := range parcels {
 		g.writeSummary(socket, p)
 	}
@@ -127,15 +127,19 @@
 	total.Add(g.own)
 	total.Add(g.others)
 	total.Hosts, total.Known = g.others.Hosts+1, g.others.Known+1
-	members := g.domainMembers(now)
-	inside := Summary{Host: g.Self, Incarnation: g.incarnation, Domain: g.Domain, Crashes: marks, IsPrimary: isPrimary, DomainHosts: domain.Hosts, Members: members}
+	inside := Summary{Host: g.Self, Incarnation: g.incarnation, Domain: g.Domain, IsPrimary: isPrimary, DomainHosts: domain.Hosts}
 	outside := inside
-	inside.IsGlobal, inside.Members = true, append(slices.Clone(members), g.foreignMembers(now)...)
+	inside.IsGlobal = true
+	if !isPrimary || g.ticks%memberPeriods == 0 {
+		members := g.domainMembers(now)
+		inside.Crashes, outside.Crashes = marks, marks
+		inside.Members, outside.Members = append(slices.Clone(members), g.foreignMembers(now)...), members
+	}
 
 	first := 0
-	for name, hosts := range g.domainHosts {
+	for name, c := range g.domains.Recent(now) {
 		if name < g.Domain {
-			first += hosts
+			first += c.Hosts
 		}
 	}
 	var toHosts []recipient
@@ -154,22 +158,21 @@
 		p.asked(now)
 		toRelays = append(toRelays, recipient{address: p.address})
 	}
-	return append(g.split(inside, total, toHosts), g.split(outside, domain, toRelays)...)
+	return append(g.split(inside, total, &g.toHosts, toHosts), g.split(outside, domain, &g.toRelays, toRelays)...)
 }
 
-// split fills the counts into a summary, in as many parts as its loads need; the caller holds the lock.
-func (g *Gossip) split(s Summary, c tally.Counts, to []recipient) []parcel {
-	loads := loadsOf(c.Loads)
-	s.Services, s.Hosts, s.Known = servicesOf(c.Services), c.Hosts, c.Known
-	s.Parts = max(1, (len(loads)+maxSummaryLoads-1)/maxSummaryLoads)
+// split fills the counts into a summary and into as many further ones as the loads need; the caller holds the lock.
+func (g *Gossip) split(s Summary, c tally.Counts, sent *changes, to []recipient) []parcel {
+	s.Services, s.Hosts, s.Known, s.HasCounts = servicesOf(c.Services), c.Hosts, c.Known, true
+	loads := sent.due(c.Loads, g.ticks, s.IsPrimary)
 	var all []parcel
-	for part := range s.Parts {
-		s.Part = part
-		s.Loads = loads[part*len(loads)/s.Parts : (part+1)*len(loads)/s.Parts]
+	for s.HasCounts || len(loads) > 0 {
+		n := min(len(loads), maxSummaryLoads)
+		s.Loads, loads = loads[:n], loads[n:]
 		g.sequence++
 		s.Sequence = g.sequence
 		all = append(all, parcel{s, to})
-		s.Services, s.Crashes, s.Members = nil, nil, nil
+		s.Services, s.Crashes, s.Members, s.HasCounts = nil, nil, nil, false
 	}
 	return all
 }
@@ -273,17 +276,16 @@
 	g.discovered = true
 	c := countsOf(s.Loads, s.Services)
 	c.Hosts, c.Known = s.Hosts, s.Known
-	loads, isApplied := map[string]pool.Load(nil), false
+	isApplied := false
 	switch {
 	case !s.IsGlobal && s.Domain != g.Domain:
 		g.applyDomain(s, c, p, now)
 	case s.IsGlobal && s.Domain == g.Domain:
-		loads, isApplied = g.applyGlobal(m, s, c, p, now)
+		isApplied = g.applyGlobal(m, s, c, p, now)
 	}
 	g.mu.Unlock()
 	if isApplied {
-		g.setParts(s.Parts)
-		g.Pool.SetRemoteLoads(partName(s.Part), loads)
+		g.Pool.UpdateRemoteLoads(sumName, c.Loads)
 	}
 	g.Crashes.Merge(s.Crashes)
 }
@@ -295,26 +297,18 @@
 			return
 		}
 	}
-	if s.Part > 0 {
-		c.Hosts, c.Known, c.Services = 0, 0, nil
-	} else {
-		if g.domainHosts == nil {
-			g.domainHosts = make(map[string]int)
-		}
-		g.domainHosts[s.Domain] = s.Hosts
-	}
-	g.domains.Put(s.Domain+"/"+strconv.Itoa(s.Part), c, now)
+	g.domains.Update(s.Domain, c, s.HasCounts, now)
 }
 
-// applyGlobal keeps the sum over all hosts less this host's own part, and returns the loads of the others; false if the sum
-// is not the one to follow. The caller holds the lock.
-func (g *Gossip) applyGlobal(m message, s Summary, c tally.Counts, from *peer, now time.Time) (map[string]pool.Load, bool) {
+// applyGlobal keeps the sum over all hosts less this host's own part, which it also subtracts from the loads of c; false if
+// the sum is not the one to follow. The caller holds the lock.
+func (g *Gossip) applyGlobal(m message, s Summary, c tally.Counts, from *peer, now time.Time) bool {
 	if g.isRelay || m.Incarnation != g.incarnation || !g.follows(from, s.IsPrimary, now) {
-		return nil, false
+		return false
 	}
 	own, found := g.history.At(m.Included)
 	if !found {
-		return nil, false
+		return false
 	}
 	for id, l := range own.Loads {
 		if sum, listed := c.Loads[id]; listed {
@@ -323,24 +317,22 @@
 			}
 		}
 	}
-	if s.Part == 0 {
+	if s.HasCounts {
 		others := tally.Counts{Services: c.Services, Hosts: c.Hosts, Known: c.Known}
 		others.Subtract(tally.Counts{Services: own.Services, Hosts: 1, Known: 1})
 		g.others, g.summedAt, g.position, g.liveHosts = others, now, m.Rank, s.Hosts
 	}
-	return c.Loads, true
+	g.hasSum = true
+	return true
 }
 
-// setParts sets the number of parts in which the pool keeps the sum of the other hosts' loads.
-func (g *Gossip) setParts(n int) {
+// dropSum drops the sum of the other hosts' loads.
+func (g *Gossip) dropSum() {
 	g.mu.Lock()
-	before := g.parts
-	g.parts = n
+	g.hasSum = false
 	g.mu.Unlock()
-	for i := n; i < before; i++ {
-		g.Pool.SetRemoteLoads(partName(i), nil)
-	}
+	g.Pool.SetRemoteLoads(sumName, nil)
 }
 
-// partName is the name under which the pool keeps a part of the sum; no host has it.
-func partName(part int) string { return "sum/" + strconv.Itoa(part) }
+// sumName is the name under which the pool keeps the sum of the other hosts' loads; no host has it.
+const sumName = "/sum"
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -160,6 +160,31 @@
 	}
 }
 
+// UpdateRemoteLoads replaces the listed loads of those set under a host's name; a load of zero removes one.
+func (p *Pool) UpdateRemoteLoads(host string, loads map[string]Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.remote == nil {
+		p.remote = make(map[string]map[string]Load)
+	}
+	before := p.remote[host]
+	if before == nil {
+		before = make(map[string]Load, len(loads))
+		p.remote[host] = before
+	}
+	for id, l := range loads {
+		old := before[id]
+		if e := p.servers[id]; e != nil {
+			e.remote.add(Load{Runs: l.Runs - old.Runs, Tokens: l.Tokens - old.Tokens, PendingPromptTokens: l.PendingPromptTokens - old.PendingPromptTokens})
+		}
+		if l == (Load{}) {
+			delete(before, id)
+		} else {
+			before[id] = l
+		}
+	}
+}
+
 // LocalLoads returns the loads by this host, by backend server ID, without those that are zero.
 func (p *Pool) LocalLoads() map[string]Load {
 	p.mu.Lock()
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -85,6 +86,39 @@
 	s.all[name] = source{Counts: c, at: now}
 }
 
+// Update replaces the listed loads of a source and, if hasCounts is set, its other counts.
+func (s *Sources) Update(name string, c Counts, hasCounts bool, now time.Time) {
+	before, known := s.all[name]
+	if !known || now.Sub(before.at) > s.MaxAge {
+		before = source{}
+	}
+	merged := before.Counts
+	if hasCounts {
+		merged = c
+	}
+	merged.Loads = make(map[string]pool.Load, len(before.Loads)+len(c.Loads))
+	maps.Copy(merged.Loads, before.Loads)
+	for id, l := range c.Loads {
+		if l == (pool.Load{}) {
+			delete(merged.Loads, id)
+		} else {
+			merged.Loads[id] = l
+		}
+	}
+	s.Put(name, merged, now)
+}
+
+// Recent returns the counts of the sources with recent news, by name.
+func (s *Sources) Recent(now time.Time) map[string]Counts {
+	recent := make(map[string]Counts, len(s.all))
+	for name, c := range s.all {
+		if now.Sub(c.at) <= s.MaxAge {
+			recent[name] = c.Counts
+		}
+	}
+	return recent
+}
+
 // Sum returns the sum of all sources with recent news.
 func (s *Sources) Sum(now time.Time) Counts {
 	var sum Counts
@@ -101,17 +135,6 @@
 	return sum
 }
 
-// Live returns the number of sources with recent news.
-func (s *Sources) Live(now time.Time) int {
-	n := 0
-	for _, c := range s.all {
-		if now.Sub(c.at) <= s.MaxAge {
-			n++
-		}
-	}
-	return n
-}
-
 // Clear forgets all sources.
 func (s *Sources) Clear() { clear(s.all) }
 
