fix(gossip,mirror): hosts ask the next reader at once when one stops reading the store

Cause: a relay names the readers of a failure domain; one that stopped was only left out, so the other hosts went on asking it until it timed out after 1.5 s, then called the store themselves and read everything anew. Change: hosts that a summary covers and does not name are no readers; a reader that refused is not asked until it is named again; while a host awaits the next reader it keeps its revision. TestLargeDeploymentsReportToRelays asks for the next reader within 1.5 s.

--- a/internal/gossip/intro.go
+++ b/internal/gossip/intro.go
@@ -108,7 +108,8 @@
 	}
 }
 
-// addMember adds an introduced host. If isCurrent, its state replaces an older one. The caller holds the lock.
+// addMember adds an introduced host. If isCurrent, its state is applied unless the host reports to this one. The caller holds
+// the lock.
 func (g *Gossip) addMember(intro Introduction, isCurrent bool, now time.Time) {
 	if intro.Host == "" || intro.Host == g.Self || !intro.Address.IsValid() {
 		return
@@ -118,8 +119,12 @@
 		p = g.addPeer(intro.Host, intro.Address)
 		p.region, p.domain, p.cores = intro.Region, intro.Domain, intro.Cores
 	}
-	if seen := now.Add(-time.Duration(intro.AgeMS) * time.Millisecond); isCurrent && !seen.Before(p.lastSeen) {
-		p.lastSeen, p.unresponsive, p.address = seen, false, intro.Address
-		p.region, p.domain, p.cores, p.reading, p.leaving = intro.Region, intro.Domain, intro.Cores, intro.Reading, intro.Leaving
+	if !isCurrent || g.isReporting(p, now) {
+		return
+	}
+	if seen := now.Add(-time.Duration(intro.AgeMS) * time.Millisecond); seen.After(p.lastSeen) {
+		p.lastSeen, p.unresponsive = seen, false
 	}
+	p.address, p.region, p.domain, p.cores = intro.Address, intro.Region, intro.Domain, intro.Cores
+	p.reading, p.leaving = intro.Reading, intro.Leaving
 }
--- a/internal/gossip/reader.go
+++ b/internal/gossip/reader.go
@@ -22,6 +22,16 @@
 	return mirror.Host{Name: reader, Address: g.peers[reader].address}, true
 }
 
+// LostReader records that a host does not read the store for this one, until a relay names it again. Without relays the
+// host's own next digest tells.
+func (g *Gossip) LostReader(host string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.peers[host]; p != nil && g.isRelayed(time.Now()) {
+		p.reading = false
+	}
+}
+
 // IsReaderMissing reports whether no host of this region reads the store, so that changes may have been missed.
 func (g *Gossip) IsReaderMissing() bool {
 	if g.IsReading() {
--- a/internal/gossip/relay_test.go
+++ b/internal/gossip/relay_test.go
@@ -69,6 +69,16 @@
 			return ok == (m.Self != "h00") && (!ok || h.Name == "h00")
 		})
 	}
+	all[0].reading.Store(false)
+	all[7].reading.Store(true)
+	began := time.Now()
+	for _, m := range all {
+		eventually(t, m.Self+" to find the next reader", func() bool {
+			h, ok := m.Reader()
+			return ok == (m.Self != "h07") && (!ok || h.Name == "h07")
+		})
+	}
+	assert.Assert(t, time.Since(began) < readerTimeout, "a host that stops reading is not asked until it times out: %s", time.Since(began))
 	stopped := all[0].primary()
 	for _, m := range all {
 		if m.Self == stopped {
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -267,11 +267,8 @@
 	if s.IsPrimary {
 		p.primaryAt, p.domainHosts = now, s.DomainHosts
 	}
-	for _, member := range s.Members {
-		g.addMember(member, true, now)
-		if known := g.peers[member.Host]; known != nil {
-			known.isMember = true
-		}
+	if len(s.Members) > 0 {
+		g.applyMembers(s, now)
 	}
 	g.discovered = true
 	c := countsOf(s.Loads, s.Services)
@@ -290,6 +287,22 @@
 	g.Crashes.Merge(s.Crashes)
 }
 
+// applyMembers applies the relays and readers that a summary names; hosts that it covers and does not name are no readers
+// that others should ask. The caller holds the lock.
+func (g *Gossip) applyMembers(s Summary, now time.Time) {
+	for _, p := range g.peers {
+		if (s.IsGlobal || p.domain == s.Domain) && !g.isReporting(p, now) {
+			p.reading = false
+		}
+	}
+	for _, member := range s.Members {
+		g.addMember(member, true, now)
+		if known := g.peers[member.Host]; known != nil {
+			known.isMember = true
+		}
+	}
+}
+
 // applyDomain keeps the sum over another failure domain; the caller holds the lock.
 func (g *Gossip) applyDomain(s Summary, c tally.Counts, from *peer, now time.Time) {
 	for _, p := range g.peers {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -65,6 +65,8 @@
 	MayRead() bool
 	// Hosts returns the number of hosts that share the store's rate limit.
 	Hosts() int
+	// LostReader records that a host does not read the store for this one, until there is news of it.
+	LostReader(host string)
 }
 
 // Mirror reads documents from the host that reads the store for this one, or else from the store. It caches what it has
@@ -161,11 +163,14 @@
 	if err == nil || errors.Is(err, ErrHistoryGone) {
 		return b, err
 	}
+	if m.awaitsReader() {
+		return Batch{}, ErrNotReading
+	}
 	if _, hasReader := m.Readers.Reader(); !hasReader && !m.cache(kind).isAt(since) {
 		// This host has become the reader for others, which need a complete cache.
 		return Batch{}, ErrHistoryGone
 	}
-	if m.isBackingOff() || m.awaitsReader() {
+	if m.isBackingOff() {
 		return Batch{}, ErrNotReading
 	}
 	began := ticks.Now()
@@ -202,6 +207,7 @@
 	}
 	m.avoidUntil[reader.Name] = time.Now().Add(avoidDuration)
 	m.mu.Unlock()
+	m.Readers.LostReader(reader.Name)
 	m.Log.Info("reading host lost", "host", reader.Name, "kind", kind, "error", err)
 	return Batch{}, ErrNotReading
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -56,6 +56,8 @@
 
 func (r *fakeReaders) MayRead() bool { return !r.isUndiscovered }
 
+func (r *fakeReaders) LostReader(string) {}
+
 func (r *fakeReaders) Hosts() int {
 	if r.hosts > 0 {
 		return r.hosts
