fix(gossip): hosts that the store's list names are completed by introductions

Cause: a host that lists the registered hosts learns names and addresses only; introductions did not add the failure domain to a host that was known already, so it could never be chosen as a relay. Change: an introduction fills what is missing.

--- a/internal/gossip/intro.go
+++ b/internal/gossip/intro.go
@@ -117,6 +117,9 @@
 	p := g.peers[intro.Host]
 	if p == nil {
 		p = g.addPeer(intro.Host, intro.Address)
+	}
+	if p.domain == "" {
+		// The store's list names addresses only.
 		p.region, p.domain, p.cores = intro.Region, intro.Domain, intro.Cores
 	}
 	if !isCurrent || g.isReporting(p, now) {
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -50,6 +51,21 @@
 	}
 }
 
+// TestHostsFromTheStoreAreCompletedByIntroductions: without a failure domain, a host can't be chosen as a relay.
+func TestHostsFromTheStoreAreCompletedByIntroductions(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.1:7")
+	g := New()
+	g.Self, g.Domain, g.Log = "h0", "d1", slog.New(slog.NewTextHandler(io.Discard, nil))
+	g.Registry = &registry{all: map[string]netip.AddrPort{"h0": address, "h1": address}}
+	g.listRegistered(t.Context())
+	now := time.Now()
+	assert.Equal(t, len(g.relaysOf("d1", now)), 0)
+	g.addIntroduced([]Introduction{{Host: "h1", Address: address, Region: "east", Domain: "d1", Cores: 0.8}})
+	relays := g.relaysOf("d1", now)
+	assert.Equal(t, len(relays), 1)
+	assert.Equal(t, relays[0].cores, 0.8)
+}
+
 func TestChangesAreSentThriceAndAllInTurn(t *testing.T) {
 	var c changes
 	loads := make(map[string]pool.Load)
