fix(front): the overlap of a run counts from its copy's connection; waiting requests are matched when the table has changed

Cause: a copy whose engine could not be reached ended its source after 0.25 s although nothing ran twice; each attempt of a waiting request walked all routes. Change: the overlap begins when the request is sent to the copy; a request is matched anew only if the table, its age or the host's stop call for it.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -178,8 +178,7 @@
 // match finds the request's route, workspace and service in a table. Its errors are refusals.
 func (q *request) match(table *policy.Table, confirmed time.Duration) error {
 	q.table, q.tableAge = table.Version, ticks.Now()-confirmed
-	keyAge := time.Duration(q.keyAge.Load())
-	isStale := keyAge > 0 && q.tableAge > keyAge
+	isStale := q.isStale(confirmed)
 	path, _, _ := strings.Cut(q.target, "?")
 	q.route = table.Match(hostName(q.host), path)
 	if q.route == nil {
@@ -206,6 +205,12 @@
 	return nil
 }
 
+// isStale reports whether a table confirmed at a time is too old to accept keys.
+func (q *request) isStale(confirmed time.Duration) bool {
+	keyAge := time.Duration(q.keyAge.Load())
+	return keyAge > 0 && ticks.Now()-confirmed > keyAge
+}
+
 // effectiveTimeout returns the time limit of the request: the least of the default, the route's and the caller's.
 func (q *request) effectiveTimeout() time.Duration {
 	timeout := defaultTimeout
@@ -272,6 +277,7 @@
 func (q *request) backendRequest(s ForwardMetadata) *send.Request {
 	return &send.Request{
 		Method: q.method, Target: q.target, Host: q.host, Header: q.HeaderCodec.Encode(q.Call, s), Body: q.body, HasBody: q.hasBody,
+		OnConnected: s.OnConnected,
 	}
 }
 
--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -25,7 +25,7 @@
 	began := time.Now()
 	err := q.Queue.Place(ctx, q.service.Name, q.placementGroup(), q.queueRequest(), func(l queue.Limits) error {
 		var err error
-		lease, err = q.attemptStart(began, l)
+		lease, err = q.attemptStart(l)
 		return err
 	})
 	if waited := time.Since(began); err != nil || waited > time.Millisecond {
@@ -42,11 +42,11 @@
 	}
 }
 
-// attemptStart claims a backend server within the limits, or returns queue.ErrBusy. A request that has waited is matched
-// with the newest table, and refused if the host stops before it could be answered.
-func (q *request) attemptStart(began time.Time, l queue.Limits) (*pool.Lease, error) {
-	if time.Since(began) > rematchAfter {
-		table, confirmed := q.Tables.View()
+// attemptStart claims a backend server within the limits, or returns queue.ErrBusy. A request that has waited while the table
+// changed is matched anew, and refused if its key is no longer accepted or the host stops before it could be answered.
+func (q *request) attemptStart(l queue.Limits) (*pool.Lease, error) {
+	table, confirmed := q.Tables.View()
+	if table.Version != q.table || q.isStale(confirmed) || q.stopAt.Load() != nil {
 		if err := q.match(table, confirmed); err != nil {
 			return nil, err
 		}
@@ -60,9 +60,6 @@
 	return lease, err
 }
 
-// rematchAfter is the wait after which a request is matched with the table again before it is sent.
-const rematchAfter = 10 * time.Millisecond
-
 // queueRequest describes the request for the queue.
 func (q *request) queueRequest() queue.Request {
 	output := q.expectedOutput()
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -121,7 +121,9 @@
 		s.handleOpened(openResult{err: err})
 		return
 	}
-	s.isOpening, s.openingSince = true, time.Now()
+	s.isOpening = true
+	s.connectedAt.Store(0)
+	metadata.OnConnected = func() { s.connectedAt.Store(time.Now().UnixNano()) }
 	go func() {
 		f, err := s.openFromCopy(s.ctx, lease, metadata)
 		s.openResults <- openResult{upstream: f, err: err}
@@ -130,10 +132,15 @@
 
 // boundOverlap stops the current run if the next one has not made an event for a while: both may be at work until then.
 func (s *session) boundOverlap() error {
-	if !s.isOpening && s.next == nil || time.Since(s.openingSince) < maxOverlap {
+	connectedAt := s.connectedAt.Load()
+	if !s.isOpening && s.next == nil || connectedAt == 0 {
 		return nil
 	}
-	s.log.Info("source stopped before its copy made an event", "from", s.current.lease.Server.ID, "after", time.Since(s.openingSince), "last_event", s.lastNumber)
+	overlap := time.Since(time.Unix(0, connectedAt))
+	if overlap < maxOverlap {
+		return nil
+	}
+	s.log.Info("source stopped before its copy made an event", "from", s.current.lease.Server.ID, "after", overlap, "last_event", s.lastNumber)
 	return s.replaceCurrent(errors.Newf("the copy made no event within %s", maxOverlap))
 }
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,10 +40,11 @@
 	// openResults and copyResults carry the results of the goroutines that run while isOpening and isCopying are set.
 	openResults chan openResult
 	isOpening   bool
-	// openingSince is when the request was sent to the backend server of the next upstream.
-	openingSince time.Time
-	copyResults  chan copyResult
-	isCopying    bool
+	// connectedAt is when the request was sent to the backend server of the next upstream, in Unix nanoseconds; 0 before.
+	// Atomic, because the goroutine that opens the next upstream sets it.
+	connectedAt atomic.Int64
+	copyResults chan copyResult
+	isCopying   bool
 	// leavingSince is when a migration of the run became due; zero while none waits.
 	leavingSince time.Time
 	// nextCopyAt is the earliest time of the next copy on demand after a failed one.
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -47,6 +47,8 @@
 	// ResumeFrom is the copy that the run is resumed from; empty for a new run.
 	ResumeFrom Copy
 	LastEvent  string
+	// OnConnected is called before the request is sent; may be nil.
+	OnConnected func()
 }
 
 // Reply holds the headers of an answer in decoded form.
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -51,6 +51,8 @@
 	Body   []byte
 	// HasBody distinguishes an empty body from none.
 	HasBody bool
+	// OnConnected is called before the request is sent on its connection; may be nil.
+	OnConnected func()
 }
 
 // Answer is a backend server's answer; its body is read from the connection.
@@ -80,6 +82,9 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", to), ErrNotSent)
 	}
+	if r.OnConnected != nil {
+		r.OnConnected()
+	}
 	stopAfterFunc := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	answer, err := exchange(conn, r)
 	if err != nil {
