--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// TestHostsFromTheStoreAreCompletedByIntroductions: without a failure domain, a host can't be chosen as a relay.
+// TestHostsFromTheStoreAreCompletedByIntroductions checks that hosts known by address only can become relays.
 func TestHostsFromTheStoreAreCompletedByIntroductions(t *testing.T) {
 	address := netip.MustParseAddrPort("127.0.0.1:7")
 	g := New()
--- a/internal/gossip/reader.go
+++ b/internal/gossip/reader.go
@@ -22,8 +22,8 @@
 	return mirror.Host{Name: reader, Address: g.peers[reader].address}, true
 }
 
-// LostReader records that a host does not read the store for this one, until a relay names it again. Without relays the
-// host's own next digest tells.
+// LostReader records that a host does not read the store for this one, until a relay names it again. Without relays it does
+// nothing, because the host's own digests arrive directly.
 func (g *Gossip) LostReader(host string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -176,7 +176,7 @@
 	return true
 }
 
-// lacksRelay reports whether this host reports to relays and hears none.
+// lacksRelay reports whether this host reports to relays and has received no recent sum.
 func (g *Gossip) lacksRelay() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/queue/decide.go
+++ b/internal/queue/decide.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// The share of a request's latency target that pending prompts of a backend server may take for it to be chosen.
+// The bounds on the prefill time of a backend server's pending prompts, as shares of a request's latency target.
 const (
 	// onTimeDelayShare applies while the first event can still be on time. More makes all requests of a crowd late
 	// together; less leaves engines idle between two batches of prompts.
@@ -18,7 +18,7 @@
 // prefill them again.
 const (
 	maxMemoryUse = 0.97
-	// maxShortMemoryUse applies to short outputs, which free their memory at once.
+	// maxShortMemoryUse applies to short outputs, which soon free their memory.
 	maxShortMemoryUse = 1.0
 )
 
@@ -30,7 +30,7 @@
 	minPatience     = 2 * time.Second
 	patienceTargets = 4
 	patiencePauses  = 8
-	// minRetryAfter and maxRetryAfter bound the time after which callers are told to return.
+	// minRetryAfter and maxRetryAfter bound the Retry-After of refusals.
 	minRetryAfter = 400 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
 	// minDrainRate is the lowest assumed rate at which a backlog drains, as a share of the rate of starts: a crowd ends.
@@ -101,8 +101,8 @@
 	return last
 }
 
-// compare orders waiting requests. Load patterns: a crowd beyond capacity, in which those that can still be on time go first;
-// long prompts before short notes, which the operators' priorities tell apart; then the earliest goes first.
+// compare orders waiting requests: those that can still be on time, then by the operators' priority, then by arrival. Load
+// patterns: a crowd beyond capacity; short notes behind long prompts.
 func compare(a, b Request, now time.Time) int {
 	if late, otherLate := a.IsLate(now), b.IsLate(now); late != otherLate {
 		if late {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -106,7 +106,7 @@
 	}
 }
 
-// enter attempts the request at once unless others wait, and adds it to the line if it has to wait.
+// enter adds the request to the line and reconsiders the line; it returns no entry if the wait has already ended.
 func (q *Queue) enter(service, group string, r Request, attempt Attempt) (*entry, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
