fix(town): hosts of stand-in towns never share an address

Cause: each of a host's four addresses was drawn at random from 12,000 ports and was free only at that moment. Two addresses of one test may be the same port (12 addresses: one run in 180), and packages that are tested at the same time draw from the same ports.

Evidence: TestHostsNeverShareAnAddress fails on the code before ("was given to h.. too").

Fix: a process gives out each port once, at a loopback address of its own that follows from its process ID, so that no order of runs can make two hosts share one.

--- a/internal/fakes/town/town.go
+++ b/internal/fakes/town/town.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -172,21 +174,35 @@
 const (
 	firstPort = 20000
 	portCount = 12000
-	// maxPortTries bounds the search for a free port.
-	maxPortTries = 100
 )
 
-// freeAddress returns a loopback address with a port that is free now, or the last error of maxPortTries tries.
+// ErrNoPort is returned when a process has used all ports of its loopback address.
+var ErrNoPort = errors.New("all ports are in use or were given out")
+
+// portsGiven counts the ports that this process has given out.
+var portsGiven atomic.Int64 //nolint:gochecknoglobals // ports belong to the process
+
+// freeAddress returns an address that no other host gets: a port that this process has not given out yet, at a loopback
+// address that no other process uses.
 func freeAddress(ctx context.Context) (netip.AddrPort, error) {
-	var lastErr error
-	for range maxPortTries {
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(portCount)))
+	for {
+		given := portsGiven.Add(1) - 1
+		if given >= portCount {
+			return netip.AddrPort{}, ErrNoPort
+		}
+		address := netip.AddrPortFrom(processAddress(os.Getpid()), uint16(firstPort+given))
 		l, err := httpd.Listen(ctx, address.String())
-		if err != nil {
-			lastErr = err
+		if errors.Is(err, syscall.EADDRINUSE) {
 			continue
 		}
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
 		return address, errors.Wrap(l.Close(), "close listener")
 	}
-	return netip.AddrPort{}, errors.Wrap(lastErr, "find a free port")
+}
+
+// processAddress returns the loopback address of a process. Process IDs have at most 22 bits.
+func processAddress(pid int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(64 + pid>>16&63), byte(pid >> 8), byte(pid)})
 }
