fix(crash): evidence of crashes is kept by part of the prompt and shared by all hosts

Cause: package crash knew whole requests only. Requests with the part are never alike: 31 deaths were recorded under 31 fingerprints, so nothing was ever quarantined. Evidence was announced for 4 s only, so a host that started or had been cut off never received it.

Change: evidence is kept by key, a part of the prompt that others may share or the whole request. A crash accuses the keys of the requests that waited for their first event; an answer exonerates its keys, at any host. Two crashes that are not simultaneous quarantine a key that has never been answered, three that are a second apart one that has. Requests with the key are refused at once, those that wait in the queue too, with the time of the next trial as Retry-After. A quarantine ends with the first answer: of a request that was in progress, or of a trial, one request at a time, which hosts send at different times. Only a closed port shows a crash; an attempt to connect that times out may be the network's fault. The evidence of quarantined keys is reported all the time, through relays too, and at once to hosts of other regions.

Evidence that this is the cause: on the code before, eight requests with the part reach an engine each ("8 != 2" in the test TestPartOfPromptsThatCrashesEveryServerReachesFew without sound requests); 2 do now.

--- a/internal/cause/line.go
+++ b/internal/cause/line.go
@@ -30,7 +30,8 @@
 func isHostEvent(message string) bool {
 	switch message {
 	case "backend server changed", "backend server gone", "store lost", "store regained", "reading host lost", "host silent",
-		"host heard again", "host stops", "host serves", "table in force", "failure domains out", "log lines dropped":
+		"host heard again", "host stops", "host serves", "table in force", "failure domains out", "log lines dropped",
+		"key quarantined":
 		return true
 	default:
 		return false
--- a/internal/cause/outcomes.go
+++ b/internal/cause/outcomes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -150,6 +151,9 @@
 }
 
 func (q *analysis) explainNoBackend(end Line, message string) string {
+	if refused, ok := q.lastLine("request quarantined"); ok {
+		return q.explainQuarantine(refused, message)
+	}
 	if n := q.count("send failed"); n > 0 {
 		l, _ := q.lastLine("send failed")
 		return fmt.Sprintf("%s: %d could not be reached, the last with: %s", message, n, l.Fields["error"])
@@ -167,6 +171,19 @@
 	return fmt.Sprintf("%s: the %s that were asked did not run it", message, end.Fields["sends"])
 }
 
+// explainQuarantine explains a refusal because of a key that the request holds.
+func (q *analysis) explainQuarantine(refused Line, message string) string {
+	key := refused.Fields["key"]
+	for _, l := range slices.Backward(q.hostLines) {
+		if l.Message == "key quarantined" && l.Fields["key"] == key && !l.At.After(refused.At) {
+			q.addEvidence(l)
+			return fmt.Sprintf("%s: servers %s crashed under requests with key %s; its caller was to return after %s",
+				message, l.Fields["servers"], key, refused.Fields["retry_after"])
+		}
+	}
+	return fmt.Sprintf("%s: key %s", message, key)
+}
+
 // explainFailure explains a request that may have run and was not answered.
 func (q *analysis) explainFailure(end Line) string {
 	code, message, _ := strings.Cut(end.Fields["error"], ": ")
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -1,128 +1,294 @@
-// Package crash tracks requests that backend servers died of, and quarantines them.
+// Package crash finds out which requests crash backend servers, and quarantines what they have in common: a part of their
+// prompts, or the whole request. Hosts share the evidence.
 package crash
 
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
+// ErrQuarantined says that a request holds a key under which backend servers have crashed.
+var ErrQuarantined = errors.New("backend servers have crashed under requests like this one")
+
 const (
-	// deathsToQuarantine is the number of different backend servers that must die of a request before it is quarantined.
-	deathsToQuarantine = 2
-	// markTTL is how long a mark counts. It covers the time within which callers retry such a request.
-	markTTL = 60 * time.Second
-	// maxMarks bounds the marks that one host keeps.
-	maxMarks = 1024
-	// announceFor is how long this host announces a new mark to the others.
-	announceFor = 4 * time.Second
-	// probeDelay is the time for a crashed process to release its port; probeTimeout is when an unresponsive backend server
-	// counts as dead.
+	// probeDelay is the time for a crashed process to release its port; probeTimeout bounds the connection attempt.
 	probeDelay   = 30 * time.Millisecond
 	probeTimeout = 700 * time.Millisecond
+	// maxKeys bounds the keys that one host keeps evidence of, and those whose last answer it remembers.
+	maxKeys    = 1024
+	maxAnswers = 8192
+	// epoch keeps the times of evidence that is older than the machine's boot positive.
+	epoch = time.Hour
 )
 
-// Mark records that a backend server died after it had begun to run a request.
-type Mark struct {
-	Fingerprint uint64 `cbor:"1,keyasint"`
-	Server      string `cbor:"2,keyasint"`
+// Table holds the evidence and the requests in progress. Its exported fields are set before use; it is safe for concurrent
+// use.
+type Table struct {
+	// Host is this host's name; hosts try quarantined keys at different times.
+	Host string
+	Log  *slog.Logger
+	// Now returns the time; the zero value stands for ticks.Now.
+	Now func() time.Duration
+	// OnChange is called when the other hosts should receive new evidence; may be nil.
+	OnChange func()
+
+	mu   sync.Mutex
+	keys map[uint64]*evidence
+	// answers holds when an answer last began to a request with a part.
+	answers map[uint64]time.Duration
+	waiting map[*Run]struct{}
+	version uint64
 }
 
-// Table holds the marks. Only Log must be set; it is safe for concurrent use.
-type Table struct {
-	Log *slog.Logger
+// Run is a request in progress at this host.
+type Run struct {
+	table *Table
+	id    string
+	keys  Keys
+	abort func()
+	// isAnswered is protected by the table's lock.
+	isAnswered bool
+}
+
+func (t *Table) now() time.Duration {
+	if t.Now != nil {
+		return t.Now()
+	}
+	return epoch + ticks.Now()
+}
+
+// Check returns how long requests with these keys are refused, and the key that is quarantined; 0 if they may be sent, also
+// as a trial.
+func (t *Table) Check(keys Keys) (wait time.Duration, key uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait, e := t.check(keys, t.now())
+	if wait == 0 {
+		return 0, 0
+	}
+	return wait, e.key
+}
+
+// check returns how long requests with these keys are refused, and the quarantined key that one would be a trial of. A
+// request with several quarantined keys is no trial, since its crash would not tell which of them is the cause.
+func (t *Table) check(keys Keys, now time.Duration) (wait time.Duration, trial *evidence) {
+	for key := range keys.all() {
+		e := t.keys[key]
+		if e == nil || !e.isQuarantined(now) {
+			continue
+		}
+		left := e.trialAt(t.Host) - now
+		if trial != nil {
+			left = max(left, trialInterval)
+		}
+		wait, trial = max(wait, left), e
+	}
+	return max(wait, 0), trial
+}
 
-	mu    sync.Mutex
-	marks map[Mark]entry
+// Enter registers a request. Until it is sent, abort is called if one of its keys is quarantined.
+func (t *Table) Enter(id string, keys Keys, abort func()) *Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := &Run{table: t, id: id, keys: keys, abort: abort}
+	if t.waiting == nil {
+		t.waiting = make(map[*Run]struct{})
+	}
+	t.waiting[r] = struct{}{}
+	return r
 }
 
-type entry struct {
-	recordedAt time.Time
-	isOwn      bool
+// Send records that the request is about to be sent to a backend server, or returns ErrQuarantined.
+func (r *Run) Send(server string) error {
+	t := r.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.isAnswered {
+		return nil
+	}
+	now := t.now()
+	wait, trial := t.check(r.keys, now)
+	if wait > 0 {
+		return ErrQuarantined
+	}
+	delete(t.waiting, r)
+	if trial != nil {
+		trial.trials++
+		trial.triedAt, trial.changedAt = now, now
+		t.Log.Info("quarantined key tried", "request", r.id, "server", server, "key", trial.key, "trials", trial.trials, "last_crash", now-trial.lastCrash())
+		t.changed()
+	}
+	return nil
 }
 
-// IsQuarantined reports whether too many backend servers died of a request.
-func (t *Table) IsQuarantined(print uint64) bool {
+// Answered records that a backend server has begun to answer the request, which exonerates all of its keys.
+func (r *Run) Answered() {
+	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	deaths := 0
-	for m, h := range t.marks {
-		if m.Fingerprint == print && time.Since(h.recordedAt) < markTTL {
-			deaths++
+	if r.isAnswered {
+		return
+	}
+	r.isAnswered = true
+	now := t.now()
+	for _, part := range r.keys.Parts {
+		t.remember(part, now)
+	}
+	for key := range r.keys.all() {
+		e := t.keys[key]
+		if e == nil {
+			continue
 		}
+		if e.isQuarantined(now) {
+			t.Log.Info("quarantine ends", "request", r.id, "key", key, "crashes", len(e.crashes), "trials", e.trials)
+		}
+		if e.hasCrashes() {
+			e.changedAt = now
+			t.changed()
+		}
+		e.answeredAt = now
 	}
-	return deaths >= deathsToQuarantine
 }
 
-// Probe dials a backend server that broke a connection and records a mark of the request if it can't connect.
-func (t *Table) Probe(ctx context.Context, print uint64, server string, address netip.AddrPort) {
-	if !ticks.Sleep(ctx, probeDelay) {
+// End removes the request from those in progress.
+func (r *Run) End() {
+	r.table.mu.Lock()
+	defer r.table.mu.Unlock()
+	delete(r.table.waiting, r)
+}
+
+// Broke finds out whether the backend server that broke the request's connection has crashed, and if so, records evidence
+// against the request's keys. A request that was already being answered is not accused.
+func (r *Run) Broke(ctx context.Context, server string, address netip.AddrPort) {
+	t := r.table
+	brokeAt := t.now()
+	t.mu.Lock()
+	isAnswered := r.isAnswered
+	t.mu.Unlock()
+	if isAnswered || !ticks.Sleep(ctx, probeDelay) {
 		return
 	}
 	dialer := net.Dialer{Timeout: probeTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err == nil {
 		_ = conn.Close()
-		return
 	}
-	t.Log.Info("backend server dead after a request", "server", server, "address", address, "fingerprint", print, "error", err)
-	t.add(Mark{Fingerprint: print, Server: server}, true)
+	// Only a closed port shows a crash: a connection attempt that times out may be the network's fault.
+	isCrashed := errors.Is(err, syscall.ECONNREFUSED)
+	t.Log.Info("backend server broke a request", "request", r.id, "server", server, "crashed", isCrashed, "parts", r.keys.Parts, "whole", r.keys.Whole, "error", err)
+	if isCrashed {
+		t.accuse(r.keys, Crash{Server: server, at: brokeAt})
+	}
 }
 
-func (t *Table) add(m Mark, isOwn bool) {
+// accuse records a crash under a request with the given keys.
+func (t *Table) accuse(keys Keys, c Crash) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.marks == nil {
-		t.marks = make(map[Mark]entry)
+	now := t.now()
+	for key := range keys.all() {
+		e := t.evidence(key, now)
+		wasQuarantined := e.isQuarantined(now)
+		if e.add(c) {
+			e.changedAt = now
+			t.logQuarantine(e, wasQuarantined, now)
+		}
 	}
-	if _, exists := t.marks[m]; exists {
-		return
+	t.changed()
+	aborted := t.aborted(now)
+	t.mu.Unlock()
+	for _, abort := range aborted {
+		abort()
 	}
-	now := time.Now()
-	for old, h := range t.marks {
-		if now.Sub(h.recordedAt) > markTTL {
-			delete(t.marks, old)
+}
+
+// aborted returns the abort functions of the requests that are not sent yet and can't be any more; the caller holds the lock.
+func (t *Table) aborted(now time.Duration) []func() {
+	var all []func()
+	for r := range t.waiting {
+		if wait, _ := t.check(r.keys, now); wait > 0 {
+			delete(t.waiting, r)
+			all = append(all, r.abort)
 		}
 	}
-	if len(t.marks) < maxMarks {
-		t.marks[m] = entry{recordedAt: now, isOwn: isOwn}
+	return all
+}
+
+// evidence returns the evidence of a key, which it adds. The caller holds the lock.
+func (t *Table) evidence(key uint64, now time.Duration) *evidence {
+	if e := t.keys[key]; e != nil {
+		return e
+	}
+	if t.keys == nil {
+		t.keys = make(map[uint64]*evidence)
 	}
+	t.makeRoom(now)
+	e := &evidence{key: key}
+	if at, known := t.answers[key]; known {
+		e.answeredAt = at
+	}
+	t.keys[key] = e
+	return e
 }
 
-// Own returns the marks of this host that are to be announced to the others.
-func (t *Table) Own() []Mark {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var own []Mark
-	for m, h := range t.marks {
-		if h.isOwn && time.Since(h.recordedAt) < announceFor {
-			own = append(own, m)
+// expire drops the evidence that no longer counts; the caller holds the lock.
+func (t *Table) expire(now time.Duration) {
+	for key, e := range t.keys {
+		if e.isExpired(now) {
+			delete(t.keys, key)
 		}
 	}
-	return own
 }
 
-// Recent returns the marks of all hosts that were added lately, for a relay to pass on.
-func (t *Table) Recent() []Mark {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var recent []Mark
-	for m, h := range t.marks {
-		if time.Since(h.recordedAt) < announceFor {
-			recent = append(recent, m)
+// makeRoom drops the least needed evidence if there is too much; the caller holds the lock.
+func (t *Table) makeRoom(now time.Duration) {
+	if len(t.keys) < maxKeys {
+		return
+	}
+	t.expire(now)
+	all := slices.SortedFunc(maps.Values(t.keys), func(a, b *evidence) int { return compare(a, b, now) })
+	for _, e := range all[min(len(all), maxKeys*3/4):] {
+		delete(t.keys, e.key)
+	}
+	t.Log.Warn("evidence dropped: too many keys", "before", len(all), "after", len(t.keys))
+}
+
+// remember records an answer under a part; the caller holds the lock.
+func (t *Table) remember(part uint64, now time.Duration) {
+	if t.answers == nil {
+		t.answers = make(map[uint64]time.Duration)
+	}
+	if _, known := t.answers[part]; !known && len(t.answers) >= maxAnswers {
+		for old, at := range t.answers {
+			if now-at > evidenceTTL || len(t.answers) >= maxAnswers {
+				delete(t.answers, old)
+			}
 		}
 	}
-	return recent
+	t.answers[part] = now
+}
+
+// logQuarantine logs a key whose quarantine has begun; the caller holds the lock.
+func (t *Table) logQuarantine(e *evidence, wasQuarantined bool, now time.Duration) {
+	if !wasQuarantined && e.isQuarantined(now) {
+		t.Log.Warn("key quarantined", "key", e.key, "servers", e.servers(), "had_answers", e.hasAnswered(), "trials", e.trials, "trial_in", e.trialAt(t.Host)-now)
+	}
 }
 
-// Merge adds the marks of another host.
-func (t *Table) Merge(marks []Mark) {
-	for _, m := range marks {
-		t.add(m, false)
+// changed records that this host has new evidence; the caller holds the lock.
+func (t *Table) changed() {
+	t.version++
+	if t.OnChange != nil {
+		t.OnChange()
 	}
 }
--- /dev/null
+++ b/internal/crash/share.go
@@ -0,0 +1,129 @@
+package crash
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// MaxReported is the number of keys in one report.
+	MaxReported = 24
+	// announceFor is how long changed evidence is reported; that of quarantined keys is reported all the time, so that hosts
+	// that start or were cut off receive it.
+	announceFor = 2 * time.Second
+)
+
+// Evidence is what hosts know of one key, with ages in place of times.
+type Evidence struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key     uint64
+	Crashes []Crash
+	// AnswerAgeMS is the time since an answer last began to a request with the key, TrialAgeMS the time since the last
+	// trial, in milliseconds; negative for never.
+	AnswerAgeMS int64
+	Trials      int
+	TrialAgeMS  int64
+}
+
+// Report returns the evidence that the other hosts should receive, at most MaxReported keys.
+func (t *Table) Report() []Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.keys) == 0 {
+		return nil
+	}
+	now := t.now()
+	t.expire(now)
+	var due []*evidence
+	for _, e := range t.keys {
+		if now-e.changedAt < announceFor || e.isQuarantined(now) {
+			due = append(due, e)
+		}
+	}
+	slices.SortFunc(due, func(a, b *evidence) int { return compare(a, b, now) })
+	var all []Evidence
+	for _, e := range due[:min(len(due), MaxReported)] {
+		all = append(all, e.encode(now))
+	}
+	return all
+}
+
+// Version returns a number that grows with each change of the evidence that other hosts should receive at once.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// Quarantined returns the number of quarantined keys.
+func (t *Table) Quarantined() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, count := t.now(), 0
+	for _, e := range t.keys {
+		if e.isQuarantined(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Merge adds the evidence of another host.
+func (t *Table) Merge(reported []Evidence) {
+	if len(reported) == 0 {
+		return
+	}
+	t.mu.Lock()
+	now := t.now()
+	for _, r := range reported {
+		e := t.evidence(r.Key, now)
+		wasQuarantined := e.isQuarantined(now)
+		if e.merge(r.decode(now)) {
+			e.changedAt = now
+			t.logQuarantine(e, wasQuarantined, now)
+			if wasQuarantined && !e.isQuarantined(now) {
+				t.Log.Info("quarantine ends by another host's evidence", "key", e.key, "crashes", len(e.crashes), "trials", e.trials)
+			}
+		}
+	}
+	aborted := t.aborted(now)
+	t.mu.Unlock()
+	for _, abort := range aborted {
+		abort()
+	}
+}
+
+func (e *evidence) encode(now time.Duration) Evidence {
+	r := Evidence{Key: e.key, AnswerAgeMS: ageMS(e.answeredAt, now), Trials: e.trials, TrialAgeMS: ageMS(e.triedAt, now)}
+	for _, c := range e.crashes {
+		r.Crashes = append(r.Crashes, Crash{Server: c.Server, AgeMS: ageMS(c.at, now)})
+	}
+	return r
+}
+
+func (r Evidence) decode(now time.Duration) *evidence {
+	e := &evidence{key: r.Key, trials: max(0, r.Trials), answeredAt: timeOf(r.AnswerAgeMS, now), triedAt: timeOf(r.TrialAgeMS, now)}
+	for _, c := range r.Crashes[:min(len(r.Crashes), MaxCrashes)] {
+		if at := timeOf(c.AgeMS, now); at > 0 {
+			e.crashes = append(e.crashes, Crash{Server: c.Server, at: at})
+		}
+	}
+	return e
+}
+
+// ageMS returns the time since at, in milliseconds; -1 if at is zero.
+func ageMS(at, now time.Duration) int64 {
+	if at <= 0 {
+		return -1
+	}
+	return max(0, (now - at).Milliseconds())
+}
+
+// timeOf returns the time of an age; zero if the age is negative or exceeds the time since the machine started.
+func timeOf(age int64, now time.Duration) time.Duration {
+	if age < 0 || age > int64(now/time.Millisecond) {
+		return 0
+	}
+	return now - time.Duration(age)*time.Millisecond
+}
--- /dev/null
+++ b/internal/front/crash_test.go
@@ -0,0 +1,110 @@
+package front_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+)
+
+// crashUnder makes each engine crash when it begins to run a request whose headers or body contain a text.
+func (r *rig) crashUnder(text string) {
+	for _, e := range r.engines {
+		e.Script = func(_ net.Conn, q *plat.Request) bool {
+			if !strings.Contains(q.Text, text) && !strings.Contains(q.Header.Get("Prefix-Hash"), text) {
+				return false
+			}
+			e.MarkRun(q)
+			e.Crash()
+			return true
+		}
+	}
+}
+
+// recover waits until crashes have been noticed, and restarts the engines after some seconds.
+func (r *rig) recover(t *testing.T) {
+	t.Helper()
+	r.Wait(t.Context())
+	r.later.Add(int64(5 * time.Second))
+	for i, e := range r.engines {
+		e.Restart()
+		r.put(i, false)
+	}
+}
+
+func TestQuarantinedRequestReachesNoServer(t *testing.T) {
+	r := newRig(t, 4)
+	r.crashUnder("deadly")
+	request := callerRequest{method: http.MethodPost, path: "/book/x", key: "k1", body: "deadly"}
+	for range 2 {
+		assert.Equal(t, r.do(t, request).status, http.StatusBadGateway)
+		r.recover(t)
+	}
+	before := len(r.received())
+	resp := r.do(t, request)
+	assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.header.Get("Retry-After") != "")
+	assert.Equal(t, len(r.received()), before)
+	request.body = "sound"
+	assert.Equal(t, r.do(t, request).status, http.StatusOK)
+}
+
+// report is a request for a stream whose prompt has the given parts beside one of its own.
+func report(id int, parts string) callerRequest {
+	return callerRequest{method: http.MethodPost, path: "/report/x", key: "k1", body: fmt.Sprint("prompt ", id), headers: map[string]string{
+		"Token-Usage": "100,8", "Prefix-Hash": fmt.Sprintf("%s,%x:20", parts, 1000+id),
+	}}
+}
+
+func TestPartOfPromptsThatCrashesEveryServerReachesFew(t *testing.T) {
+	const sound, deadly = "aa:40,bb:40", "aa:40,bb:40,dead:40"
+	r := newRig(t, 8)
+	assert.Equal(t, r.do(t, report(0, sound)).status, http.StatusOK)
+	r.crashUnder("dead:")
+	for i := range 8 {
+		resp, err := r.try(t.Context(), report(10+i, deadly))
+		if err == nil {
+			assert.Assert(t, resp.StatusCode >= http.StatusInternalServerError)
+			_ = resp.Body.Close()
+		}
+		r.recover(t)
+		assert.Equal(t, r.do(t, report(20+i, sound)).status, http.StatusOK, "sound requests with the other parts go on")
+		r.later.Add(-int64(4 * time.Second))
+	}
+	runs := 0
+	for _, q := range r.received() {
+		if strings.Contains(q.Header.Get("Prefix-Hash"), "dead:") {
+			runs++
+		}
+	}
+	assert.Equal(t, runs, 2)
+	assert.Equal(t, r.guard.Quarantined(), 1)
+}
+
+func TestPartIsServedAgainOnceATrialIsAnswered(t *testing.T) {
+	const deadly = "aa:40,dead:40"
+	r := newRig(t, 8)
+	assert.Equal(t, r.do(t, report(0, "aa:40")).status, http.StatusOK)
+	r.crashUnder("dead:")
+	for i := range 2 {
+		resp, err := r.try(t.Context(), report(10+i, deadly))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		r.recover(t)
+	}
+	for _, e := range r.engines {
+		e.Script = nil
+	}
+	assert.Equal(t, r.do(t, report(20, deadly)).status, http.StatusServiceUnavailable)
+	r.later.Add(int64(time.Minute))
+	assert.Equal(t, r.do(t, report(21, deadly)).status, http.StatusOK)
+	assert.Equal(t, r.do(t, report(22, deadly)).status, http.StatusOK)
+	assert.Equal(t, r.guard.Quarantined(), 0)
+}
--- a/internal/front/explain_test.go
+++ b/internal/front/explain_test.go
@@ -162,6 +162,22 @@
 			"answered",
 			[]string{"the first event came after", "prompt tokens were not read there"},
 		},
+		{
+			"A request that was quarantined", func(t *testing.T, r *rig, _ *logRecorder) {
+				r.guard.Log = r.Log
+				r.crashUnder("dead:")
+				for i := range 2 {
+					resp, err := r.try(t.Context(), report(10+i, "dead:40"))
+					if err == nil {
+						_ = resp.Body.Close()
+					}
+					r.recover(t)
+				}
+				assert.Equal(t, r.do(t, report(20, "dead:40")).status, http.StatusServiceUnavailable)
+			},
+			"refused",
+			[]string{"crashed under requests with key", "its caller was to return after"},
+		},
 	}
 	for _, tc := range tests {
 		t.Run(tc.section, func(t *testing.T) {
--- a/internal/front/fail.go
+++ b/internal/front/fail.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/crash"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
 )
 
@@ -30,6 +31,14 @@
 	return e
 }
 
+// quarantined returns the refusal of a request that did not run, because backend servers have crashed under its like.
+func (q *request) quarantined(wait time.Duration, key uint64) *refuse.Error {
+	q.log.Info("request quarantined", "key", key, "parts", len(q.keys.Parts), "retry_after", wait)
+	e := retryable(refuse.CodeNoBackend, crash.ErrQuarantined.Error())
+	e.RetryAfter = wait
+	return e
+}
+
 // callerError converts the error that ended a request into the one that its caller receives.
 func (q *request) callerError(caller context.Context, err error) error {
 	var refused *refuse.Error
@@ -38,6 +47,8 @@
 		return errors.Mark(err, errCallerGone)
 	case errors.Is(err, errCut) || errors.As(err, &refused):
 		return err
+	case q.runs.Load() == 0 && errors.Is(err, crash.ErrQuarantined):
+		return errors.WithSecondaryError(q.quarantined(q.Guard.Check(q.keys)), err)
 	case q.runs.Load() == 0:
 		return errors.WithSecondaryError(retryable(refuse.CodeNoBackend, "no backend server could take the request"), err)
 	case !time.Now().Before(q.deadline):
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/crash"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
@@ -45,11 +45,12 @@
 	Allow(service string, urgent bool) bool
 }
 
-// Guard detects requests that crash backend servers.
+// Guard detects what crashes backend servers.
 type Guard interface {
-	IsQuarantined(fingerprint uint64) bool
-	// Probe finds out whether a backend server that broke a connection is dead.
-	Probe(ctx context.Context, fingerprint uint64, server string, address netip.AddrPort)
+	// Check returns how long requests with these keys are refused, and the key that is quarantined; 0 if they may be sent.
+	Check(keys crash.Keys) (wait time.Duration, key uint64)
+	// Enter registers a request; abort is called if it may no longer be sent.
+	Enter(id string, keys crash.Keys, abort func()) *crash.Run
 }
 
 // Store reports the state of the platform's store.
@@ -97,8 +98,9 @@
 	table     int64
 	tableAge  time.Duration
 	deadline  time.Time
-	// print is the request's fingerprint, which is equal for requests with the same content and workspace.
-	print uint64
+	// keys are what the request has in common with others, guarded its registration with the guard.
+	keys    crash.Keys
+	guarded *crash.Run
 	// runs counts the backend servers that may have run the request, sends all that received it.
 	// Atomic, because the goroutine that opens a stream's next upstream counts too.
 	runs  atomic.Int32
@@ -142,6 +144,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
+	q.guarded = q.Guard.Enter(q.ID, q.keys, func() { abort(crash.ErrQuarantined) })
+	defer q.guarded.End()
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(q.deadline.Add(writeSlack))
 	var err error
@@ -150,6 +156,9 @@
 	} else {
 		err = q.unary(ctx)
 	}
+	if err != nil && errors.Is(context.Cause(ctx), crash.ErrQuarantined) {
+		err = errors.CombineErrors(crash.ErrQuarantined, err)
+	}
 	if err != nil {
 		q.fail(q.callerError(r.Context(), err))
 	}
@@ -168,9 +177,9 @@
 	if err := q.readBody(r, table.Limits); err != nil {
 		return err
 	}
-	q.print = q.fingerprint()
-	if q.Guard.IsQuarantined(q.print) {
-		return retryable(refuse.CodeNoBackend, "the request has crashed the backend servers that ran it")
+	q.keys = crash.NewKeys(q.Parts, q.fingerprint())
+	if wait, key := q.Guard.Check(q.keys); wait > 0 {
+		return q.quarantined(wait, key)
 	}
 	return nil
 }
@@ -286,7 +295,7 @@
 	q.active.Add(1)
 	go func() {
 		defer q.active.Done()
-		q.Guard.Probe(context.Background(), q.print, s.ID, s.Address)
+		q.guarded.Broke(context.Background(), s.ID, s.Address)
 	}()
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -122,10 +122,3 @@
 	r.StopAt(time.Now().Add(time.Second))
 	assert.Equal(t, r.do(t, callerRequest{path: "/read/x", key: "k1"}).status, http.StatusServiceUnavailable)
 }
-
-func TestQuarantinedRequestReachesNoServer(t *testing.T) {
-	r := newRig(t, 2)
-	r.guard.quarantined = true
-	assert.Equal(t, r.do(t, callerRequest{path: "/read/x", key: "k1"}).status, http.StatusServiceUnavailable)
-	assert.Equal(t, len(r.received()), 0)
-}
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -6,9 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +14,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/tarragonspur/tarragonspur/internal/crash"
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 	"github.com/tarragonspur/tarragonspur/internal/front"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
@@ -29,34 +28,17 @@
 type rig struct {
 	*front.Front
 
-	server      *httptest.Server
-	engines     []*plat.Server
-	copies      *plat.CopyRegistry
-	guard       *guard
+	server  *httptest.Server
+	engines []*plat.Server
+	copies  *plat.CopyRegistry
+	guard   *crash.Table
+	// later is added to the guard's time.
+	later       atomic.Int64
 	denyRetries bool
 	// storeDown makes IsUnreachable report true.
 	storeDown atomic.Bool
 }
 
-// guard is a front.Guard whose quarantine the test sets.
-type guard struct {
-	mu          sync.Mutex
-	suspects    int
-	quarantined bool
-}
-
-func (g *guard) IsQuarantined(uint64) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.quarantined
-}
-
-func (g *guard) Probe(context.Context, uint64, string, netip.AddrPort) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.suspects++
-}
-
 // IsUnreachable makes the rig a front.Store.
 func (r *rig) IsUnreachable() bool { return r.storeDown.Load() }
 
@@ -104,7 +86,8 @@
 // newRig starts a Front and a number of backend servers that alternate between both services.
 func newRig(t *testing.T, engines int) *rig {
 	t.Helper()
-	r := &rig{copies: &plat.CopyRegistry{}, guard: &guard{}}
+	r := &rig{copies: &plat.CopyRegistry{}, guard: &crash.Table{Host: "h0", Log: slog.New(slog.NewTextHandler(io.Discard, nil))}}
+	r.guard.Now = func() time.Duration { return time.Hour + ticks.Now() + time.Duration(r.later.Load()) }
 	holder := &policy.Holder{}
 	holder.PutIfNewer(table())
 	holder.Confirm(ticks.Now())
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -94,6 +94,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.guarded.Send(lease.Server.ID); err != nil {
+		lease.Release()
+		return nil, err
+	}
 	s.tried = append(s.tried, lease.Server.ID)
 	metadata := s.forwardMetadata(lease.Server.ID)
 	metadata.LastEvent = s.lastEventID()
@@ -176,6 +180,7 @@
 	}
 	if !s.started {
 		s.started = true
+		s.guarded.Answered()
 		from.lease.PrefillDone(time.Now())
 		s.Queue.Started(s.service.Name)
 		s.Meter.FirstEvent(time.Since(s.arrived))
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -19,6 +19,9 @@
 	// Timeout is how long the caller waits; 0 if it states none.
 	Timeout time.Duration
 	Key     string
+	// Parts are the IDs of the prompt's parts, in order. Requests share parts; the last one belongs to this request or its
+	// session.
+	Parts []string
 	// Prompt and MaxOutput are token counts stated by the caller; OutputHint is its estimate of the output tokens.
 	Prompt     int
 	MaxOutput  int
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/crash"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
@@ -59,7 +60,7 @@
 // taken from the retry budget.
 func (q *request) mayRetry(err error) bool {
 	var refused *refuse.Error
-	if errors.Is(err, pool.ErrNoServer) || errors.Is(err, queue.ErrOverloaded) || errors.As(err, &refused) || len(q.tried) >= maxSends {
+	if errors.Is(err, pool.ErrNoServer) || errors.Is(err, queue.ErrOverloaded) || errors.Is(err, crash.ErrQuarantined) || errors.As(err, &refused) || len(q.tried) >= maxSends {
 		return false
 	}
 	if errors.Is(err, send.ErrNotSent) {
@@ -78,6 +79,9 @@
 		return nil, err
 	}
 	defer lease.Release()
+	if err := q.guarded.Send(lease.Server.ID); err != nil {
+		return nil, err
+	}
 	q.tried = append(q.tried, lease.Server.ID)
 	answer, err := q.exchange(ctx, lease, q.forwardMetadata(lease.Server.ID))
 	if errors.Is(err, errNotRun) {
@@ -102,6 +106,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			lease.RecordAnswer(answer.Status >= http.StatusInternalServerError)
+			q.guarded.Answered()
 			return &fullAnswer{status: answer.Status, header: answer.Header, body: body.Bytes(), server: lease.Server.ID}, nil
 		case err == nil && (body.Len() > maxAnswerBytes || body.Len() > answerChunkBytes && buffered > maxBufferedBytes):
 			err = errors.Newf("answer exceeds %d bytes, or all answers in progress exceed %d", maxAnswerBytes, maxBufferedBytes)
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -30,7 +30,6 @@
 	Sequence uint64       `cbor:"3,keyasint"`
 	Leaving  bool         `cbor:"4,keyasint,omitempty"`
 	Loads    []ServerLoad `cbor:"5,keyasint,omitempty"`
-	Crashes  []crash.Mark `cbor:"6,keyasint,omitempty"`
 	Region   string       `cbor:"7,keyasint,omitempty"`
 	// Cores is the host's processor share.
 	Cores float64 `cbor:"8,keyasint,omitempty"`
@@ -42,6 +41,9 @@
 	WantsIntroductions bool           `cbor:"11,keyasint,omitempty"`
 	Introductions      []Introduction `cbor:"12,keyasint,omitempty"`
 	Domain             string         `cbor:"13,keyasint,omitempty"`
+	// Crashes is the evidence of crashes, and EvidenceVersion the number of its state, which is not sent.
+	Crashes         []crash.Evidence `cbor:"14,keyasint,omitempty"`
+	EvidenceVersion uint64           `cbor:"-"`
 }
 
 // Introduction describes a host that the sender has seen recently, itself or through others.
@@ -89,7 +91,6 @@
 	// Loads are those that have changed lately and some of the others in turn.
 	Loads    []ServerLoad    `cbor:"6,keyasint,omitempty"`
 	Services []ServiceCounts `cbor:"7,keyasint,omitempty"`
-	Crashes  []crash.Mark    `cbor:"8,keyasint,omitempty"`
 	// Hosts and Known count the live hosts and those that divided budgets count.
 	Hosts int `cbor:"9,keyasint,omitempty"`
 	Known int `cbor:"10,keyasint,omitempty"`
@@ -101,4 +102,6 @@
 	DomainHosts int `cbor:"13,keyasint,omitempty"`
 	// HasCounts reports whether Services, Hosts, Known and DomainHosts are set; further datagrams of a period hold only loads.
 	HasCounts bool `cbor:"14,keyasint,omitempty"`
+	// Crashes is the evidence of crashes that this or another host has.
+	Crashes []crash.Evidence `cbor:"15,keyasint,omitempty"`
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -118,6 +118,8 @@
 	// lastSent is when a digest was last sent to the host.
 	lastSent         time.Time
 	lastSentSequence uint64
+	// lastSentEvidence is the version of the evidence of crashes that was last sent to the host.
+	lastSentEvidence uint64
 	region           string
 	domain           string
 	cores            float64
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -36,11 +36,14 @@
 		others.Loads[fmt.Sprintf("i-%010x", i)] = pool.Load{Runs: 20, Tokens: 300000, PendingPromptTokens: 90000}
 	}
 	g.others = others
-	marks := make([]crash.Mark, maxSummaryMarks)
-	for i := range marks {
-		marks[i] = crash.Mark{Fingerprint: 1 << 63, Server: "i-0123456789"}
+	crashes := make([]crash.Evidence, crash.MaxReported)
+	for i := range crashes {
+		crashes[i] = crash.Evidence{Key: 1 << 63, AnswerAgeMS: 1 << 20, Trials: 3, TrialAgeMS: 1 << 20}
+		for range crash.MaxCrashes {
+			crashes[i].Crashes = append(crashes[i].Crashes, crash.Crash{Server: "i-0123456789", AgeMS: 1 << 16})
+		}
 	}
-	parcels := g.parcels(others, g.reportingHosts(now), marks, now)
+	parcels := g.parcels(others, g.reportingHosts(now), crashes, now)
 	assert.Assert(t, len(parcels) > 0)
 	for _, p := range parcels {
 		encoded, err := cbor.Marshal(p.summary)
--- a/internal/gossip/relay_test.go
+++ b/internal/gossip/relay_test.go
@@ -130,7 +130,7 @@
 			}
 			assert.Assert(t, recipients <= tc.summaries, "%d recipients", recipients)
 			g.Cores = 0.1
-			assert.Equal(t, len(g.due(1, true)), tc.digest)
+			assert.Equal(t, len(g.due(1, 0, true)), tc.digest)
 		})
 	}
 }
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -39,7 +39,8 @@
 			g.record(sequence, d)
 		}
 		d.Incarnation, d.Sequence = g.incarnation, sequence
-		g.write(socket, d, g.due(sequence, isUrgent))
+		d.Crashes = g.Crashes.Report()
+		g.write(socket, d, g.due(sequence, d.EvidenceVersion, isUrgent))
 		g.expire()
 	}
 }
@@ -50,7 +51,7 @@
 	g.mu.Unlock()
 	d.Reading = g.IsReading()
 	d.Loads = loadsOf(g.Pool.LocalLoads())
-	d.Crashes = g.Crashes.Own()
+	d.EvidenceVersion = g.Crashes.Version()
 	services := make(map[string]tally.Service)
 	for name, c := range g.Budget.LocalCounts() {
 		services[name] = tally.Service{SendCounts: c}
@@ -81,8 +82,9 @@
 }
 
 // due returns the addresses that a digest is due for. Hosts of the same region place requests on the same backend
-// servers and receive changes at once; the more hosts there are, the less often each sends changes.
-func (g *Gossip) due(sequence uint64, isUrgent bool) []netip.AddrPort {
+// servers and receive changes at once; the more hosts there are, the less often each sends changes. Evidence of crashes
+// concerns the hosts of all regions.
+func (g *Gossip) due(sequence, evidenceVersion uint64, isUrgent bool) []netip.AddrPort {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -97,6 +99,8 @@
 		}
 		minInterval := interval
 		switch {
+		case isUrgent && p.lastSentEvidence != evidenceVersion:
+			minInterval = urgentInterval
 		case p.region != g.Region && p.region != "":
 			minInterval = max(heartbeat, interval)
 		case isUrgent:
@@ -110,7 +114,7 @@
 		if now.Sub(p.lastSent) < minInterval-minInterval/4 {
 			continue
 		}
-		p.lastSent, p.lastSentSequence = now, sequence
+		p.lastSent, p.lastSentSequence, p.lastSentEvidence = now, sequence, evidenceVersion
 		due = append(due, p.address)
 	}
 	return due
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -17,10 +17,8 @@
 const (
 	// maxSummaryLoads is the number of backend servers in one part of a summary; about 25 bytes each.
 	maxSummaryLoads = 160
-	// memberPeriods is the number of periods between the summaries that name members and crash marks.
+	// memberPeriods is the number of periods between the summaries that name members and evidence of crashes.
 	memberPeriods = 5
-	// maxSummaryMarks is the number of crash marks in a summary; others follow in later ones.
-	maxSummaryMarks = 40
 )
 
 // parcel is an encoded summary and its recipients.
@@ -40,8 +38,7 @@
 // relay sends summaries if other hosts report to this one, and takes their sums for its own placement.
 func (g *Gossip) relay(socket *net.UDPConn) {
 	now := time.Now()
-	marks := g.Crashes.Recent()
-	marks = marks[:min(len(marks), maxSummaryMarks)]
+	crashes := g.Crashes.Report()
 	g.mu.Lock()
 	if !g.isRelayed(now) {
 		mustReset := g.mustReset
@@ -70,7 +67,7 @@
 	g.others.Add(domain)
 	g.others.Add(outside)
 	g.liveHosts, g.hasSum = g.others.Hosts+1, true
-	parcels := g.parcels(domain, reporters, marks, now)
+	parcels := g.parcels(domain, reporters, crashes, now)
 	loads := g.others.Loads
 	g.mu.Unlock()
 	g.dropLoads(dropped)
@@ -114,7 +111,7 @@
 }
 
 // parcels builds the summaries that are due; the caller holds the lock.
-func (g *Gossip) parcels(others tally.Counts, reporters []*peer, marks []crash.Mark, now time.Time) []parcel {
+func (g *Gossip) parcels(others tally.Counts, reporters []*peer, crashes []crash.Evidence, now time.Time) []parcel {
 	isPrimary := g.isPrimary(len(reporters)+1, now)
 	g.ticks++
 	if !isPrimary && g.ticks%secondaryPeriods != 0 {
@@ -132,7 +129,7 @@
 	inside.IsGlobal = true
 	if !isPrimary || g.ticks%memberPeriods == 0 {
 		members := g.domainMembers(now)
-		inside.Crashes, outside.Crashes = marks, marks
+		inside.Crashes, outside.Crashes = crashes, crashes
 		inside.Members, outside.Members = append(slices.Clone(members), g.foreignMembers(now)...), members
 	}
 
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -133,7 +133,9 @@
 	}
 }
 
-func newCrashes(log *slog.Logger) *crash.Table { return &crash.Table{Log: log} }
+func newCrashes(s config.Settings, log *slog.Logger) *crash.Table {
+	return &crash.Table{Host: s.Host, Log: log}
+}
 
 func newGossip(s config.Settings, st *platform.Store, p *pool.Pool, t *crash.Table, w *queue.Queue, log *slog.Logger) *gossip.Gossip {
 	g := gossip.New()
@@ -144,6 +146,7 @@
 		g.Seeds = append(g.Seeds, netip.AddrPortFrom(seed.Addr(), s.Peers.Port()))
 	}
 	p.OnClaim, p.Unseen = g.BroadcastNow, g.Unseen
+	t.OnChange = g.BroadcastNow
 	p.ColdShare = func(server string, perSecond float64) float64 { return g.ColdShare(server, coldOvercommit*perSecond) }
 	return g
 }
--- a/internal/site/gauges.go
+++ b/internal/site/gauges.go
@@ -52,6 +52,9 @@
 			}
 			return float64(waiting)
 		}},
+		{"quarantined_keys", "Parts of prompts, and requests, that are refused because backend servers crash under them.", func() float64 {
+			return float64(s.Gossip.Crashes.Quarantined())
+		}},
 		{"hosts_heard", "Hosts heard lately, this one included.", func() float64 { return float64(s.Gossip.LiveCount()) }},
 		{"reads_for_others", "1 while this host reads the store for its region.", func() float64 {
 			if _, otherReads := s.Gossip.Reader(); otherReads || !s.Gossip.IsReading() {
