fix(front): a stream that ends with its connection before any event is broken

Callers saw a status 200 with an empty stream that looked complete, or a stream that looked complete after its first events, where a backend server had closed its connection instead of resetting it.

Cause: an answer may have neither a length nor chunks and end with its connection. net/http then reports io.EOF for any close, and the front took io.EOF before the first event for the end of a complete stream: of a new run, of a copy that was opened beside its source (the source was closed and the stream ended), and of a copy that was resumed after a crash.

Fix: such an answer without a single event counts as broken, so it takes the paths of a reset: the run's copy, a new run where the route allows it, a 502 before the first event, a cut after it. The crash check runs too. An answer with chunks or a length still says itself where it ends.

--- a/internal/fakes/plat/server.go
+++ b/internal/fakes/plat/server.go
@@ -253,7 +253,7 @@
 	}
 	id := r.Header.Get("Attempt-Id")
 	if backup := r.Header.Get("Kv-Backup"); backup != "" {
-		s.Copies.add(backup + "/" + id)
+		s.Copies.Add(backup + "/" + id)
 	}
 	closed := make(chan struct{})
 	go func() {
@@ -285,11 +285,12 @@
 		return
 	}
 	handle := "h-" + body.ID
-	s.Copies.add(s.PublicAddress().String() + "/" + handle)
+	s.Copies.Add(s.PublicAddress().String() + "/" + handle)
 	Reply(conn, r, http.StatusOK, fmt.Sprintf(`{"kvHandle":%q,"created":1}`, handle), "Content-Type: application/json\r\n")
 }
 
-func (c *CopyRegistry) add(name string) {
+// Add adds a copy with a name, which consists of its address and its handle or attempt ID.
+func (c *CopyRegistry) Add(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.copies == nil {
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -124,8 +125,12 @@
 func (f *upstream) read(ctx context.Context, answer *send.Answer) {
 	defer answer.Close()
 	events := flow.Reader{Body: answer.Body}
-	for {
+	for hasEvent := false; ; hasEvent = true {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && answer.IsUnframed && !hasEvent {
+			// A backend server that crashes closes its connections too.
+			err = io.ErrUnexpectedEOF
+		}
 		p := streamItem{number: noEvent, err: err}
 		if err == nil {
 			p.event = bytes.Clone(event)
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -60,6 +60,8 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// IsUnframed says that the body has neither a length nor chunks and ends with the connection.
+	IsUnframed bool
 
 	conn          net.Conn
 	stopAfterFunc func() bool
@@ -125,7 +127,8 @@
 			continue
 		}
 		limited.isBody = true
-		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+		isUnframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, IsUnframed: isUnframed}, nil
 	}
 }
 
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -71,3 +71,28 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(got), body)
 }
+
+func TestUnframedAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name, head, body string
+		want             bool
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", "ok", false},
+		{"no body", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "", false},
+		{"status without a body", "HTTP/1.1 204 No Content\r\n\r\n", "", false},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nok\r\n0\r\n\r\n", false},
+		{"neither", "HTTP/1.1 200 OK\r\n\r\n", "ok", true},
+		{"neither, closed by its headers", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "ok", true},
+		{"neither, older version", "HTTP/1.0 200 OK\r\n\r\n", "ok", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			address, _ := serve(t, tc.head+tc.body, "")
+			answer, err := Open(t.Context(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			assert.NilError(t, err)
+			defer answer.Close()
+			assert.Equal(t, answer.IsUnframed, tc.want)
+			_, err = io.ReadAll(answer.Body)
+			assert.NilError(t, err)
+		})
+	}
+}
