--- a/internal/fakes/town/town.go
+++ b/internal/fakes/town/town.go
@@ -93,13 +93,13 @@
 	if draining {
 		state = "draining"
 	}
-	p.Store.Put("servers", e.ID, map[string]any{
+	p.Store.Put("servers", e.InstanceID(), map[string]any{
 		"service": service, "address": e.PublicAddress().String(), "zone": domain, "slots": slots, "state": state, "coldRemainingMs": 0,
 	})
 }
 
 // Unregister removes a backend server's entry.
-func (p *Platform) Unregister(e *plat.Server) { p.Store.Delete("servers", e.ID) }
+func (p *Platform) Unregister(e *plat.Server) { p.Store.Delete("servers", e.InstanceID()) }
 
 // Evacuate sets or clears the evacuation of the failure domain that all hosts and backend servers are in.
 func (p *Platform) Evacuate(evacuated bool) {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -30,7 +30,14 @@
 		path := []string{town.ReadPath, town.BookPath, town.ReportPath}[c.rand.IntN(3)]
 		id := fmt.Sprintf("%x-%d", c.rand.Uint32(), n)
 		host := c.soak.hosts[c.rand.IntN(len(c.soak.hosts))]
-		c.soak.recorder.record(c.send(ctx, client, host, path, id))
+		header := town.CallerHeader(id, path)
+		isDeadly := path == town.ReportPath && c.soak.DeadlyRatio > 0 && c.rand.Float64() < c.soak.DeadlyRatio
+		if path == town.ReportPath && c.soak.DeadlyRatio > 0 {
+			town.SetPrompt(header, id, isDeadly)
+		}
+		o := outcome{path: path, id: id, host: host.index, isDeadly: isDeadly, sentAt: time.Now()}
+		c.send(ctx, client, host, header, &o)
+		c.soak.recorder.record(o)
 		select {
 		case <-time.After(time.Duration(c.rand.ExpFloat64() * float64(meanRequestInterval))):
 		case <-ctx.Done():
@@ -38,34 +45,32 @@
 	}
 }
 
-// send sends one request and returns its outcome.
-func (c *caller) send(ctx context.Context, client *http.Client, host *process, path, id string) outcome {
-	o := outcome{path: path, id: id, sentAt: time.Now()}
+// send sends one request and stores what became of it in its outcome.
+func (c *caller) send(ctx context.Context, client *http.Client, host *process, header http.Header, o *outcome) {
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), town.CallerTimeout)
 	defer cancel()
 	method := http.MethodGet
-	if path != town.ReadPath {
+	if o.path != town.ReadPath {
 		method = http.MethodPost
 	}
-	req, err := http.NewRequestWithContext(callCtx, method, "http://"+host.settings.Callers.String()+path+"x", strings.NewReader("body of "+id))
+	req, err := http.NewRequestWithContext(callCtx, method, "http://"+host.settings.Callers.String()+o.path+"x", strings.NewReader("body of "+o.id))
 	if err != nil {
 		o.err = err
-		return o
+		return
 	}
 	req.Host = town.Host
 	// Keeps the transport from retrying a request by itself.
 	req.GetBody = nil
-	req.Header = town.CallerHeader(id, path)
+	req.Header = header
 	resp, err := client.Do(req)
 	if err != nil {
 		o.err = err
-		return o
+		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	o.status, o.body, o.err = resp.StatusCode, string(body), err
 	o.signed = plat.IsSigned(resp.Header)
-	return o
 }
 
 // expectedBody returns the body of the correct response to a request.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -28,26 +28,32 @@
 func faults() []fault {
 	return []fault{
 		{"host killed", func(s *Soak, r *rand.Rand) func() {
-			h := s.hosts[r.IntN(len(s.hosts))]
+			h, end := s.disturbHost(r)
 			h.kill()
-			return func() { s.restart(h) }
+			return func() { s.restart(h); end() }
 		}},
 		{"host terminated", func(s *Soak, r *rand.Rand) func() {
-			h := s.hosts[r.IntN(len(s.hosts))]
+			h, end := s.disturbHost(r)
 			go h.terminate()
-			return func() { h.terminate(); s.restart(h) }
+			return func() { h.terminate(); s.restart(h); end() }
 		}},
 		{"host paused", func(s *Soak, r *rand.Rand) func() {
-			h := s.hosts[r.IntN(len(s.hosts))]
+			h, end := s.disturbHost(r)
 			h.signal(syscall.SIGSTOP)
-			return func() { h.signal(syscall.SIGCONT) }
+			return func() { h.signal(syscall.SIGCONT); end() }
 		}},
 		{"host reloaded", func(s *Soak, r *rand.Rand) func() {
 			s.hosts[r.IntN(len(s.hosts))].signal(syscall.SIGHUP)
 			return func() {}
 		}},
-		{"link to the store degraded", func(s *Soak, r *rand.Rand) func() { return degradeLink(s.storeProxies, r) }},
-		{"link to a backend server degraded", func(s *Soak, r *rand.Rand) func() { return degradeLink(s.serverProxies, r) }},
+		{"link to the store degraded", func(s *Soak, r *rand.Rand) func() {
+			h, end := s.disturbHost(r)
+			undo := degradeLink(s.storeProxies[h.index], r)
+			return func() { undo(); end() }
+		}},
+		{"link to a backend server degraded", func(s *Soak, r *rand.Rand) func() {
+			return degradeLink(s.serverProxies[r.IntN(len(s.serverProxies))], r)
+		}},
 		{"connections to a backend server reset", func(s *Soak, r *rand.Rand) func() {
 			s.serverProxies[r.IntN(len(s.serverProxies))].reset()
 			return func() {}
@@ -69,7 +75,8 @@
 		}},
 		{"store outage", func(s *Soak, r *rand.Rand) func() {
 			s.town.Store.SetOutage([]plat.Outage{plat.Busy, plat.Unresponsive, plat.Lossy}[r.IntN(3)])
-			return func() { s.town.Store.SetOutage(plat.Up) }
+			end := s.disturbances.begin(allHosts)
+			return func() { s.town.Store.SetOutage(plat.Up); end() }
 		}},
 		{"store history compacted", func(s *Soak, _ *rand.Rand) func() {
 			s.town.Store.Compact()
@@ -86,8 +93,13 @@
 	}
 }
 
-func degradeLink(links []*proxy, r *rand.Rand) func() {
-	p := links[r.IntN(len(links))]
+// disturbHost draws a host and records that a fault affects it until the function that it returns is called.
+func (s *Soak) disturbHost(r *rand.Rand) (h *process, end func()) {
+	h = s.hosts[r.IntN(len(s.hosts))]
+	return h, s.disturbances.begin(h.index)
+}
+
+func degradeLink(p *proxy, r *rand.Rand) func() {
 	p.setMode([]mode{delaying, dropResponses, blackhole}[r.IntN(3)])
 	return func() { p.setMode(passThrough) }
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -26,6 +26,8 @@
 
 // process is an entry host that runs as an operating system process.
 type process struct {
+	// index is the host's position among the hosts of its soak.
+	index    int
 	settings config.Settings
 	binary   string
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 	"github.com/tarragonspur/tarragonspur/internal/httpd"
 )
 
@@ -36,26 +37,47 @@
 // proxy is a TCP proxy that can delay, drop and reset the traffic between two processes.
 type proxy struct {
 	target netip.AddrPort
+	// address is where the proxy listens.
+	address netip.AddrPort
 
-	listener   net.Listener
 	mu         sync.Mutex
+	listener   net.Listener
 	mode       mode
 	conns      map[net.Conn]bool
 	goroutines sync.WaitGroup
 }
 
 func newProxy(ctx context.Context, target netip.AddrPort) (*proxy, error) {
-	l, err := httpd.Listen(ctx, "127.0.0.1:0")
+	l, err := httpd.Listen(ctx, plat.ListenAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "start proxy")
 	}
-	p := &proxy{target: target, listener: l, conns: make(map[net.Conn]bool)}
+	p := &proxy{target: target, address: netip.MustParseAddrPort(l.Addr().String()), listener: l, conns: make(map[net.Conn]bool)}
 	p.goroutines.Add(1)
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() netip.AddrPort { return netip.MustParseAddrPort(p.listener.Addr().String()) }
+// stopListening closes the port, as the crash of the server does.
+func (p *proxy) stopListening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+}
+
+// listen opens the port again.
+func (p *proxy) listen(ctx context.Context) error {
+	l, err := httpd.Listen(ctx, p.address.String())
+	if err != nil {
+		return errors.Wrap(err, "open the proxy's port again")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = l
+	p.goroutines.Add(1)
+	go p.accept(l)
+	return nil
+}
 
 func (p *proxy) setMode(m mode) {
 	p.mu.Lock()
@@ -82,15 +104,15 @@
 }
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.stopListening()
 	p.reset()
 	p.goroutines.Wait()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	defer p.goroutines.Done()
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -19,6 +19,9 @@
 // outcome is the result of one request as seen by its caller.
 type outcome struct {
 	path, id string
+	host     int
+	// isDeadly reports whether the prompt holds a part that crashes engines; hosts may refuse such requests.
+	isDeadly bool
 	sentAt   time.Time
 	status   int
 	body     string
@@ -74,7 +77,7 @@
 			report("request %s got a wrong partial response: %.80q", o.id, o.body)
 		case isNotRunResponse(o) && o.path != town.ReadPath && runs[o.id] > 0:
 			report("request %s was refused as not run, but ran", o.id)
-		case o.err == nil && o.status >= http.StatusBadRequest && o.status < http.StatusInternalServerError && !isNotRunResponse(o):
+		case !o.isDeadly && o.err == nil && o.status >= http.StatusBadRequest && o.status < http.StatusInternalServerError && !isNotRunResponse(o):
 			report("request %s was denied with status %d", o.id, o.status)
 		}
 		if o.path == town.BookPath && runs[o.id] > 1 {
@@ -83,7 +86,7 @@
 		if o.path == town.ReportPath && runs[o.id] > 1 {
 			report("report %s ran %d times", o.id, runs[o.id])
 		}
-		if o.sentAt.After(rec.recoveryStart.Add(settlingTime)) {
+		if !o.isDeadly && o.sentAt.After(rec.recoveryStart.Add(settlingTime)) {
 			recoveryTotal++
 			if o.isServed() {
 				recoveryServed++
--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -26,11 +26,18 @@
 	}
 }
 
-func TestRegressionSeeds(t *testing.T) {
+// buildBinary builds the program and returns its path.
+func buildBinary(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "tarragonspur")
 	build := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../..")
 	build.Stderr = os.Stderr
 	assert.NilError(t, build.Run())
+	return binary
+}
+
+func TestRegressionSeeds(t *testing.T) {
+	binary := buildBinary(t)
 	for _, tc := range failedSeeds() {
 		t.Run(tc.cause, func(t *testing.T) {
 			var out bytes.Buffer
@@ -39,3 +46,13 @@
 		})
 	}
 }
+
+// TestDeadlyPartStopsReachingEngines has a seed on which one part of a prompt went on crashing engines.
+func TestDeadlyPartStopsReachingEngines(t *testing.T) {
+	var out bytes.Buffer
+	s := &Soak{
+		Seed: 1, Duration: 8 * time.Second, Recovery: 14 * time.Second, DeadlyRatio: 0.15, Hosts: 3, Engines: 12, Callers: 12,
+		Binary: buildBinary(t), Out: &out,
+	}
+	assert.NilError(t, s.Run(t.Context()), out.String())
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,6 +35,10 @@
 	Seed uint64
 	// Duration is how long faults are injected.
 	Duration time.Duration
+	// Recovery is the time without faults at the end; zero stands for recoveryPeriod.
+	Recovery time.Duration
+	// DeadlyRatio is the fraction of reports whose prompts hold a part that crashes engines.
+	DeadlyRatio float64
 	// Hosts, Engines and Callers are the numbers of entry hosts, backend servers and callers.
 	Hosts, Engines, Callers int
 	// Binary is the path of the program that runs as an entry host.
@@ -47,6 +51,8 @@
 	storeProxies  []*proxy
 	serverProxies []*proxy
 	recorder      recorder
+	outbreak      outbreak
+	disturbances  disturbances
 }
 
 // Run runs the test; if a guarantee was violated, it returns ErrGuaranteeViolated with the first violation.
@@ -57,7 +63,11 @@
 	if err := s.start(ctx); err != nil {
 		return err
 	}
-	runCtx, cancel := context.WithTimeout(ctx, s.Duration+recoveryPeriod)
+	recovery := s.Recovery
+	if recovery == 0 {
+		recovery = recoveryPeriod
+	}
+	runCtx, cancel := context.WithTimeout(ctx, s.Duration+recovery)
 	defer cancel()
 	var callers sync.WaitGroup
 	for i := range s.Callers {
@@ -73,17 +83,20 @@
 	s.recorder.startRecovery()
 	<-runCtx.Done()
 	callers.Wait()
+	s.outbreak.restarts.Wait()
 	return s.checkGuarantees()
 }
 
 func (s *Soak) start(ctx context.Context) error {
+	s.outbreak.town = s.town
 	for _, e := range s.town.Servers {
 		p, err := newProxy(ctx, e.Address())
 		if err != nil {
 			return err
 		}
 		s.serverProxies = append(s.serverProxies, p)
-		e.Public = p.address()
+		e.Public = p.address
+		e.Script = s.outbreak.script(ctx, e, p)
 		s.town.Register(e, false)
 	}
 	for i := range s.Hosts {
@@ -92,11 +105,11 @@
 			return err
 		}
 		s.storeProxies = append(s.storeProxies, p)
-		settings, err := town.Settings(ctx, i, p.address())
+		settings, err := town.Settings(ctx, i, p.address)
 		if err != nil {
 			return err
 		}
-		h := &process{settings: settings, binary: s.Binary}
+		h := &process{index: i, settings: settings, binary: s.Binary}
 		s.hosts = append(s.hosts, h)
 		if err := h.start(); err != nil {
 			return err
@@ -124,6 +137,9 @@
 // checkGuarantees reports each violated guarantee to Out and returns ErrGuaranteeViolated if there is one.
 func (s *Soak) checkGuarantees() error {
 	violations := s.recorder.check(s.town.Servers)
+	if s.DeadlyRatio > 0 {
+		violations = append(violations, s.checkDeadlyPart()...)
+	}
 	fmt.Fprintf(s.Out, "seed %d: %s, %d guarantees violated\n", s.Seed, s.recorder.summary(), len(violations))
 	for _, b := range violations {
 		fmt.Fprintln(s.Out, "  ", b)
