test(soak): requests with a deadly part must not be denied with a 4xx either

The soak's check that no request is denied with a 4xx passed over requests with a deadly part. They are refused with 503, which says that they have not run, so the check covers them as it does all others.

--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -77,7 +77,7 @@
 			report("request %s got a wrong partial response: %.80q", o.id, o.body)
 		case isNotRunResponse(o) && o.path != town.ReadPath && runs[o.id] > 0:
 			report("request %s was refused as not run, but ran", o.id)
-		case !o.isDeadly && o.err == nil && o.status >= http.StatusBadRequest && o.status < http.StatusInternalServerError && !isNotRunResponse(o):
+		case o.err == nil && o.status >= http.StatusBadRequest && o.status < http.StatusInternalServerError && !isNotRunResponse(o):
 			report("request %s was denied with status %d", o.id, o.status)
 		}
 		if o.path == town.BookPath && runs[o.id] > 1 {
