fix(crash,front): a request crashes two backend servers at most, also at its copies

Cause: the class is a decision on evidence that is still on its way. A stream that breaks before its first event goes on at once at its standby copy, and from there at the next one; nothing asked whether it may be sent again, and the probe that shows the crash ends only 30 ms later. One trial crashed six engines within half a second (log of h2: "quarantined key tried", then "backend server broke a request" six times for the same request). Crashes that close in time count as one.

Change: whoever sends a request that has not been answered asks Run.Send, copies included, which waits for the probe of the server that broke it (150 ms at most). Crashes under one request follow each other, so after two of them it is not sent again, whatever the evidence of others.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -25,6 +25,11 @@
 	// probeDelay is the time for a crashed process to release its port; probeTimeout bounds the connection attempt.
 	probeDelay   = 30 * time.Millisecond
 	probeTimeout = 700 * time.Millisecond
+	// maxProbeWait bounds how long a request waits for the probe of the backend server that broke it before it is sent to
+	// another one.
+	maxProbeWait = 150 * time.Millisecond
+	// maxOwnCrashes is the number of backend servers that one request may crash at this host.
+	maxOwnCrashes = 2
 	// maxKeys bounds the keys that one host keeps evidence of, and those whose last answer it remembers.
 	maxKeys    = 1024
 	maxAnswers = 8192
@@ -57,8 +62,11 @@
 	id    string
 	keys  Keys
 	abort func()
-	// isAnswered is protected by the table's lock.
+	// The table's lock protects the fields below. crashes is the number of backend servers that crashed under the request;
+	// probed is closed when the last probe has ended, nil without one.
 	isAnswered bool
+	crashes    int
+	probed     chan struct{}
 }
 
 func (t *Table) now() time.Duration {
@@ -109,8 +117,10 @@
 	return r
 }
 
-// Send records that the request is about to be sent to a backend server, or returns ErrQuarantined.
-func (r *Run) Send(server string) error {
+// Send records that the request is about to be sent to a backend server, or returns ErrQuarantined. It first waits for the
+// probe of one that broke the request.
+func (r *Run) Send(ctx context.Context, server string) error {
+	r.awaitProbe(ctx)
 	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -119,7 +129,7 @@
 	}
 	now := t.now()
 	wait, trial := t.check(r.keys, now)
-	if wait > 0 {
+	if wait > 0 || r.crashes >= maxOwnCrashes {
 		return ErrQuarantined
 	}
 	delete(t.waiting, r)
@@ -168,17 +178,51 @@
 	delete(r.table.waiting, r)
 }
 
-// Broke finds out whether the backend server that broke the request's connection has crashed, and if so, records evidence
-// against the request's keys. A request that was already being answered is not accused.
-func (r *Run) Broke(ctx context.Context, server string, address netip.AddrPort) {
-	t := r.table
-	brokeAt := t.now()
-	t.mu.Lock()
+// awaitProbe waits for the last probe, up to maxProbeWait.
+func (r *Run) awaitProbe(ctx context.Context) {
+	r.table.mu.Lock()
+	probed := r.probed
+	r.table.mu.Unlock()
+	if probed == nil {
+		return
+	}
+	timer := time.NewTimer(maxProbeWait)
+	defer timer.Stop()
+	select {
+	case <-probed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Broke finds out in the background whether the backend server that broke the request's connection has crashed, and if so,
+// records evidence against the request's keys. A request that was already being answered is not accused. ended is called
+// at the end.
+func (r *Run) Broke(ctx context.Context, server string, address netip.AddrPort, ended func()) {
+	brokeAt, probed := r.table.now(), make(chan struct{})
+	r.table.mu.Lock()
 	isAnswered := r.isAnswered
-	t.mu.Unlock()
-	if isAnswered || !ticks.Sleep(ctx, probeDelay) {
+	if !isAnswered {
+		r.probed = probed
+	}
+	r.table.mu.Unlock()
+	if isAnswered {
+		ended()
+		return
+	}
+	go func() {
+		defer ended()
+		defer close(probed)
+		r.probe(ctx, server, address, brokeAt)
+	}()
+}
+
+// probe connects to a backend server, and records a crash if its port is closed.
+func (r *Run) probe(ctx context.Context, server string, address netip.AddrPort, brokeAt time.Duration) {
+	if !ticks.Sleep(ctx, probeDelay) {
 		return
 	}
+	t := r.table
 	dialer := net.Dialer{Timeout: probeTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err == nil {
@@ -188,6 +232,9 @@
 	isCrashed := errors.Is(err, syscall.ECONNREFUSED)
 	t.Log.Info("backend server broke a request", "request", r.id, "server", server, "crashed", isCrashed, "parts", r.keys.Parts, "whole", r.keys.Whole, "error", err)
 	if isCrashed {
+		t.mu.Lock()
+		r.crashes++
+		t.mu.Unlock()
 		t.accuse(r.keys, Crash{Server: server, at: brokeAt})
 	}
 }
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -108,3 +108,26 @@
 	assert.Equal(t, r.do(t, report(22, deadly)).status, http.StatusOK)
 	assert.Equal(t, r.guard.Quarantined(), 0)
 }
+
+func TestRequestThatCrashesServersDoesNotGoOnAtItsCopies(t *testing.T) {
+	r := newRig(t, 12)
+	for _, e := range r.engines {
+		e.Script = func(conn net.Conn, q *plat.Request) bool {
+			if backup := q.Header.Get("Kv-Backup"); backup != "" {
+				r.copies.Add(backup + "/" + q.Attempt())
+			}
+			e.MarkRun(q)
+			plat.WriteStreamHeader(conn, q)
+			e.Crash()
+			return true
+		}
+	}
+	request := report(1, "aa:40,dead:40")
+	request.headers["Token-Usage"] = "100,4000"
+	resp, err := r.try(t.Context(), request)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	r.Wait(t.Context())
+	assert.Equal(t, len(r.received()), 2)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -293,10 +293,7 @@
 // checkForCrash checks in the background whether the request has crashed a backend server.
 func (q *request) checkForCrash(s pool.Server) {
 	q.active.Add(1)
-	go func() {
-		defer q.active.Done()
-		q.guarded.Broke(context.Background(), s.ID, s.Address)
-	}()
+	q.guarded.Broke(context.Background(), s.ID, s.Address, q.active.Done)
 }
 
 // hostName strips the port from a host.
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -151,6 +151,10 @@
 	if err != nil {
 		return nil, ForwardMetadata{}, err
 	}
+	if err := s.guarded.Send(s.ctx, lease.Server.ID); err != nil {
+		lease.Release()
+		return nil, ForwardMetadata{}, err
+	}
 	metadata := s.forwardMetadata(lease.Server.ID)
 	metadata.ResumeFrom, metadata.LastEvent = sb.copy, s.lastEventID()
 	sb.copy = Copy{}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.guarded.Send(lease.Server.ID); err != nil {
+	if err := s.guarded.Send(s.ctx, lease.Server.ID); err != nil {
 		lease.Release()
 		return nil, err
 	}
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -79,7 +79,7 @@
 		return nil, err
 	}
 	defer lease.Release()
-	if err := q.guarded.Send(lease.Server.ID); err != nil {
+	if err := q.guarded.Send(ctx, lease.Server.ID); err != nil {
 		return nil, err
 	}
 	q.tried = append(q.tried, lease.Server.ID)
