fix(front): a slow caller or a busy host no longer keeps a run at work at its source and its copy

Cause: the bound on the overlap of a live migration was checked by a ticker of 100 ms in the goroutine that also writes to the caller. A caller that stops reading blocks it, and source and copy both work until the write ends. Even without that the source was stopped up to 338 ms after its copy had the request, 62 ms before the bound. Change: a timer that starts with the send to the copy stops the source after 200 ms, whatever the session's goroutine does. The session replaces the stopped upstream when it gets to it, without blaming the backend server for a broken connection.

--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,9 +15,9 @@
 const (
 	// copyRetryDelay is the minimum time between a failed copy on demand and the next one.
 	copyRetryDelay = 60 * time.Millisecond
-	// maxOverlap bounds the time in which a run is at work at its source and, without an event yet, at its copy. With the
-	// period of the checks it stays below the 400 ms that the platform allows.
-	maxOverlap = 250 * time.Millisecond
+	// maxOverlap bounds the time in which a run is at work at its source and, without an event yet, at its copy. The rest of
+	// the 400 ms that the platform allows is for a busy host and for the way of the stop to the source.
+	maxOverlap = 200 * time.Millisecond
 	// prefillWait bounds how long after a shutdown notice a migration waits until its target has finished pending prefills:
 	// these double the time between events. The shortest notices leave 1.5 s.
 	prefillWait = 900 * time.Millisecond
@@ -122,25 +123,31 @@
 		return
 	}
 	s.isOpening = true
-	s.connectedAt.Store(0)
-	metadata.OnConnected = func() { s.connectedAt.Store(time.Now().UnixNano()) }
+	overlap := s.boundOverlap(s.current)
+	s.overlap = overlap
+	metadata.OnConnected = func() { overlap.Reset(maxOverlap) }
 	go func() {
 		f, err := s.openFromCopy(s.ctx, lease, metadata)
+		if err != nil {
+			overlap.Stop()
+		}
 		s.openResults <- openResult{upstream: f, err: err}
 	}()
 }
 
-// boundOverlap stops the current run if the next one has not made an event for a while: both may be at work until then.
-func (s *session) boundOverlap() error {
-	connectedAt := s.connectedAt.Load()
-	if !s.isOpening && s.next == nil || connectedAt == 0 {
-		return nil
-	}
-	overlap := time.Since(time.Unix(0, connectedAt))
-	if overlap < maxOverlap {
-		return nil
-	}
-	s.log.Info("source stopped before its copy made an event", "from", s.current.lease.Server.ID, "after", overlap, "last_event", s.lastNumber)
+// boundOverlap returns a timer, not yet running, that stops the source of a migration. The session's goroutine can't do it in
+// time: it may be blocked by a slow caller.
+func (s *session) boundOverlap(source *upstream) *time.Timer {
+	timer := time.AfterFunc(math.MaxInt64, func() {
+		s.log.Info("source stopped before its copy made an event", "from", source.lease.Server.ID, "after", maxOverlap)
+		source.stop()
+	})
+	timer.Stop()
+	return timer
+}
+
+// replaceStopped continues the stream on its copy once its source is stopped.
+func (s *session) replaceStopped() error {
 	return s.replaceCurrent(errors.Newf("the copy made no event within %s", maxOverlap))
 }
 
@@ -188,6 +195,7 @@
 func (s *session) switchToNext(p streamItem) (bool, error) {
 	next := s.next
 	s.next = nil
+	s.overlap.Stop()
 	if p.err != nil && !errors.Is(p.err, io.EOF) {
 		s.log.Info("stream could not go on elsewhere", "error", p.err, "server", next.lease.Server.ID, "last_event", s.lastNumber)
 		s.Meter.Resumed("broken")
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,9 +39,8 @@
 	// openResults and copyResults carry the results of the goroutines that run while isOpening and isCopying are set.
 	openResults chan openResult
 	isOpening   bool
-	// connectedAt is when the request was sent to the backend server of the next upstream, in Unix nanoseconds; 0 before.
-	// Atomic, because the goroutine that opens the next upstream sets it.
-	connectedAt atomic.Int64
+	// overlap stops the current upstream if the next one makes no event for a while; nil before the first migration.
+	overlap     *time.Timer
 	copyResults chan copyResult
 	isCopying   bool
 	// leavingSince is when a migration of the run became due; zero while none waits.
@@ -134,10 +132,11 @@
 			s.handleOpened(o)
 		case c := <-s.copyResults:
 			s.handleCopied(c)
-		case <-ticker.C:
-			if err := s.boundOverlap(); err != nil {
+		case <-s.current.stopped:
+			if err := s.replaceStopped(); err != nil {
 				return err
 			}
+		case <-ticker.C:
 		case <-s.ctx.Done():
 			return s.cutError(s.ctx.Err())
 		}
@@ -159,6 +158,8 @@
 		}
 		s.recordOutcome("answered", s.current.status, append(s.timing.logAttributes(), "late", s.timing.missedTarget(s.route), "server", s.current.lease.Server.ID, "last_event", s.lastNumber, "moves", s.resumes)...)
 		return true, nil
+	case p.err != nil && s.current.isStopped():
+		return false, s.replaceStopped()
 	case p.err != nil:
 		return false, s.resume(p.err)
 	default:
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,25 @@
 	// standby is the run's copy at another backend server; nil without one.
 	standby *standby
 	cancel  context.CancelFunc
+	// stopped is closed when the run is stopped although the session has no other upstream yet.
+	stopped  chan struct{}
+	stopOnce sync.Once
+}
+
+// stop stops the run at its backend server; the session replaces the upstream later.
+func (f *upstream) stop() {
+	f.stopOnce.Do(func() { close(f.stopped) })
+	f.cancel()
+}
+
+// isStopped reports whether stop was called.
+func (f *upstream) isStopped() bool {
+	select {
+	case <-f.stopped:
+		return true
+	default:
+		return false
+	}
 }
 
 // standby is a copy of a run's memory at another backend server.
@@ -94,7 +114,7 @@
 // openUpstream sends the request to a backend server. It returns the stream, or the full answer if the status is 300 or
 // more.
 func (q *request) openUpstream(ctx context.Context, lease *pool.Lease, s ForwardMetadata) (*upstream, *fullAnswer, error) {
-	f := &upstream{lease: lease}
+	f := &upstream{lease: lease, stopped: make(chan struct{})}
 	ctx, f.cancel = context.WithCancel(ctx)
 	if sb := q.chooseStandby(&lease.Server); sb != nil {
 		s.StandbyAddress = sb.claim.Server.Address
