fix(front): a statement that another request did not run is no promise for this one

Cause: an answer with Not-Executed or status 421 was taken as not run before its Attempt-Id was compared, so that an answer of another request let the request be sent to a second backend server. Evidence: TestAnswersOfBackendServers/another_request_was_not_run/book/x fails on the code before: status 200 after two sends instead of 502 after one. Change: only an answer with the request's own ID, or without one, says that it did not run.

--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -121,7 +121,7 @@
 		return nil, q.handleSendError(ctx, lease, err)
 	}
 	reply := q.HeaderCodec.Reply(answer.Status, answer.Header)
-	if reply.IsNotRun {
+	if reply.IsNotRun && q.isOwn(reply) {
 		q.sends.Add(1)
 		answer.Close()
 		return nil, errors.Mark(errors.Newf("backend server %s did not run the request: status %d", lease.Server.ID, answer.Status), errNotRun)
@@ -160,9 +160,12 @@
 	return err
 }
 
+// isOwn reports whether an answer belongs to the request, as far as it states one.
+func (q *request) isOwn(reply Reply) bool { return reply.ID == "" || reply.ID == q.ID }
+
 // checkReply rejects answers that belong to another request, lack the signature or have a reserved status.
 func (q *request) checkReply(a *send.Answer, reply Reply) error {
-	if reply.ID != "" && reply.ID != q.ID {
+	if !q.isOwn(reply) {
 		return errors.Mark(errors.Newf("answer belongs to request %s", reply.ID), send.ErrInvalidAnswer)
 	}
 	if a.Status < http.StatusMultipleChoices && !reply.IsSigned {
--- a/internal/front/unary_test.go
+++ b/internal/front/unary_test.go
@@ -76,6 +76,11 @@
 			want{http.StatusBadGateway, "", 1},
 			want{http.StatusOK, "answer to " + attempt, 2},
 		},
+		{
+			"another request was not run", raw("HTTP/1.1 503 Busy\r\nAttempt-Id: other\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
+			want{http.StatusBadGateway, "", 1},
+			want{http.StatusOK, "answer to " + attempt, 2},
+		},
 		{
 			"truncated answer", raw("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\n" + signed + "Content-Length: 20\r\n\r\nhalf"),
 			want{http.StatusBadGateway, "", 1},
