fix(front): the log names no source as stopped that ended by itself

Operators read "source stopped before its copy made an event" for streams whose source had already ended. Cause: the timer that bounds the overlap outlived its upstream unless the stream switched to the copy. Evidence: TestSourceThatEndsByItselfIsNotStopped fails on the code before: the line is logged 200 ms after the send to the copy although the stream was complete. Change: the timer belongs to the upstream and is stopped when that is closed.

--- a/internal/front/overlap_test.go
+++ b/internal/front/overlap_test.go
@@ -74,3 +74,33 @@
 	assert.Equal(t, caller.Code, http.StatusOK)
 	assert.Equal(t, caller.Body.String(), fullStream(60))
 }
+
+// TestSourceThatEndsByItselfIsNotStopped migrates a stream whose source makes its last event before its copy makes one.
+func TestSourceThatEndsByItselfIsNotStopped(t *testing.T) {
+	r := newRig(t, 4)
+	rec := r.recordLog()
+	var isResumed atomic.Bool
+	for _, e := range r.engines {
+		e.Events, e.Pause = 15, 20*time.Millisecond
+		e.Script = func(conn net.Conn, q *plat.Request) bool {
+			if !q.ResumesRun() {
+				return false
+			}
+			isResumed.Store(true)
+			plat.WriteStreamHeader(conn, q)
+			time.Sleep(400 * time.Millisecond)
+			return true
+		}
+	}
+	answers := make(chan reply, 1)
+	go func() { answers <- r.do(t, streamRequest("/report/x")) }()
+	source := r.runningEngine(t)
+	time.Sleep(150 * time.Millisecond)
+	r.put(r.index(source), true)
+	got := <-answers
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.text, fullStream(15))
+	assert.Assert(t, isResumed.Load())
+	time.Sleep(300 * time.Millisecond)
+	assert.Assert(t, !rec.hasMessage("source stopped before its copy made an event"))
+}
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -124,7 +124,7 @@
 	}
 	s.isOpening = true
 	overlap := s.boundOverlap(s.current)
-	s.overlap = overlap
+	s.current.overlap = overlap
 	metadata.OnConnected = func() { overlap.Reset(maxOverlap) }
 	go func() {
 		f, err := s.openFromCopy(s.ctx, lease, metadata)
@@ -195,10 +195,10 @@
 func (s *session) switchToNext(p streamItem) (bool, error) {
 	next := s.next
 	s.next = nil
-	s.overlap.Stop()
 	if p.err != nil && !errors.Is(p.err, io.EOF) {
 		s.log.Info("stream could not go on elsewhere", "error", p.err, "server", next.lease.Server.ID, "last_event", s.lastNumber)
 		s.Meter.Resumed("broken")
+		s.current.overlap.Stop()
 		s.request.close(next)
 		return false, nil
 	}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -39,8 +39,6 @@
 	// openResults and copyResults carry the results of the goroutines that run while isOpening and isCopying are set.
 	openResults chan openResult
 	isOpening   bool
-	// overlap stops the current upstream if the next one makes no event for a while; nil before the first migration.
-	overlap     *time.Timer
 	copyResults chan copyResult
 	isCopying   bool
 	// leavingSince is when a migration of the run became due; zero while none waits.
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -37,6 +37,8 @@
 	// standby is the run's copy at another backend server; nil without one.
 	standby *standby
 	cancel  context.CancelFunc
+	// overlap stops the run if its copy makes no event for a while; nil before a migration.
+	overlap *time.Timer
 	// stopped is closed when the run is stopped although the session has no other upstream yet.
 	stopped  chan struct{}
 	stopOnce sync.Once
@@ -106,6 +108,9 @@
 	if f == nil {
 		return
 	}
+	if f.overlap != nil {
+		f.overlap.Stop()
+	}
 	f.cancel()
 	f.lease.Release()
 	q.discard(f.standby)
