fix(mirror): hosts wait for the first list of their reader

What callers saw: after a kill of all hosts, those of the region away from the store refused requests a second longer than their reader ("no eligible backend server").

Cause: a host counts as reading once it has the table; its list of backend servers comes 0.7 s later there, in several pages. Until then it answered that it does not read the store, so the others took it for lost, and asked again only after it had been avoided for 0.5 s and a relay had named it anew.

The test on the code before, with the new names declared: the reader was taken for lost, and the store was called.

Why it works: a call waits at the reader for 0.3 s, and a reply "loading" is no failure of the reader. If the list fails, the reply is the same as before, and the next reader takes over.

--- a/internal/mirror/cache.go
+++ b/internal/mirror/cache.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
@@ -27,7 +29,9 @@
 	oldest, revision int64
 	// confirmed is the reading of ticks.Now at which the store last confirmed revision.
 	confirmed time.Duration
-	// changed is closed and replaced at each change.
+	// loading is the number of full lists that this host is reading from the store.
+	loading int
+	// changed is closed and replaced at each change and when a full list has failed.
 	changed chan struct{}
 	// packed are the batches of the newest revision that other hosts have read, oldest first.
 	packed []*packedBatch
@@ -79,6 +83,22 @@
 	c.revision = 0
 }
 
+// load records that this host reads a full list from the store; loaded, that it has ended.
+func (c *cache) load() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loading++
+}
+
+func (c *cache) loaded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loading--
+	if c.loading == 0 && c.revision == 0 {
+		c.notify()
+	}
+}
+
 func (c *cache) notify() {
 	c.packed = nil
 	close(c.changed)
@@ -100,13 +120,15 @@
 }
 
 // read returns all documents if since is 0, and otherwise the changes after it as soon as there are any; after wait it
-// returns an empty batch. The error is ErrNotReading, ErrHistoryGone or that of ctx.
+// returns an empty batch. While this host reads the first list, read waits for it. The error is ErrNotReading, ErrLoading,
+// ErrHistoryGone or that of ctx.
 func (c *cache) read(ctx context.Context, since int64, wait time.Duration) (Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		b, changed, err := c.changesSince(since)
-		if err != nil || since == 0 || len(b.Changed)+len(b.Removed) > 0 {
+		isLoading := errors.Is(err, ErrLoading)
+		if !isLoading && (err != nil || since == 0 || len(b.Changed)+len(b.Removed) > 0) {
 			return b, err
 		}
 		select {
@@ -124,6 +146,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age := ticks.Now() - c.confirmed
+	if c.revision == 0 && c.loading > 0 {
+		return Batch{}, c.changed, ErrLoading
+	}
 	if c.revision == 0 || age > maxAge {
 		return Batch{}, nil, ErrNotReading
 	}
--- a/internal/mirror/crowd_test.go
+++ b/internal/mirror/crowd_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonspur/tarragonspur/internal/mirror/mirpb"
@@ -43,6 +44,59 @@
 	return documents
 }
 
+// slowStore takes a while for a list, as a store in another region does for many pages.
+type slowStore struct {
+	fakeStore
+
+	pause   time.Duration
+	started chan struct{}
+}
+
+func (s *slowStore) List(ctx context.Context, kind string) (Batch, error) {
+	close(s.started)
+	time.Sleep(s.pause)
+	return s.fakeStore.List(ctx, kind)
+}
+
+func TestHostsAwaitTheFirstListOfTheirReader(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		err    error
+		isLost bool
+	}{
+		{"a list that comes", nil, false},
+		{"a list that fails", errors.New("down"), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			slow := &slowStore{pause: 3 * loadWait / 2, started: make(chan struct{})}
+			slow.batch, slow.err = Batch{Revision: 9000, Changed: crowdDocuments()}, tc.err
+			reader := newMirror(slow, &fakeReaders{})
+			host := serve(t, reader)
+			ended := make(chan error, 1)
+			go func() {
+				_, err := reader.List(t.Context(), "servers")
+				ended <- err
+			}()
+			<-slow.started
+
+			readers, unused := &fakeReaders{host: &host}, &fakeStore{err: errors.New("not to be called")}
+			follower := newMirror(unused, readers)
+			t.Cleanup(follower.Link.Close)
+			b, err := follower.List(t.Context(), "servers")
+			for errors.Is(err, ErrLoading) {
+				b, err = follower.List(t.Context(), "servers")
+			}
+			assert.ErrorIs(t, <-ended, tc.err)
+			assert.Equal(t, readers.lost > 0, tc.isLost)
+			assert.Equal(t, unused.calls > 0, tc.isLost)
+			if !tc.isLost {
+				assert.NilError(t, err)
+				assert.Equal(t, len(b.Changed), crowdServers)
+			}
+		})
+	}
+}
+
 // pipe forwards connections to a host and counts the bytes that come back. While it is held, it reads none of them.
 type pipe struct {
 	address netip.AddrPort
--- a/internal/mirror/link.go
+++ b/internal/mirror/link.go
@@ -9,8 +9,10 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"github.com/tarragonspur/tarragonspur/internal/mirror/mirpb"
 )
@@ -49,6 +51,9 @@
 	reply, err := mirpb.NewMirrorClient(conn).Read(ctx, &mirpb.ReadRequest{
 		Kind: kind, Since: since, WaitMs: wait.Milliseconds(), AcceptsPacked: true,
 	})
+	if status.Code(err) == codes.Aborted {
+		return Batch{}, ErrLoading
+	}
 	if err != nil {
 		l.closeConn(from)
 		return Batch{}, errors.Wrapf(err, "read from host %s", from.Name)
@@ -124,6 +129,9 @@
 	if errors.Is(err, ErrHistoryGone) {
 		return &mirpb.ReadReply{HistoryGone: true}, nil
 	}
+	if errors.Is(err, ErrLoading) {
+		return nil, status.Error(codes.Aborted, err.Error())
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -20,6 +20,8 @@
 	ErrHistoryGone = errors.New("the history since this revision is gone")
 	// ErrNotReading means that a host does not read the store itself or has not reached it recently.
 	ErrNotReading = errors.New("host does not read the store")
+	// ErrLoading is an ErrNotReading of a host that is about to have its first list.
+	ErrLoading = errors.Wrap(ErrNotReading, "first list is being read")
 )
 
 const (
@@ -29,6 +31,8 @@
 	// maxReaderAge is the same bound for the kind that decides whether a host counts as reading; this kind is confirmed
 	// more often.
 	maxReaderAge = 2500 * time.Millisecond
+	// loadWait is how long one call for a list waits at a host that is reading its first one.
+	loadWait = 300 * time.Millisecond
 )
 
 // Document is one object of the store, still encoded.
@@ -106,17 +110,20 @@
 
 // List returns all documents of a kind; ErrNotReading if this host must not call the store now.
 func (m *Mirror) List(ctx context.Context, kind string) (Batch, error) {
-	if b, err := m.readFromPeer(ctx, kind, 0, 0); err == nil {
-		return b, nil
+	if b, err := m.readFromPeer(ctx, kind, 0, loadWait); err == nil || errors.Is(err, ErrLoading) {
+		return b, err
 	}
 	if !m.Readers.MayRead() || m.isBackingOff() || m.awaitsReader() {
 		return Batch{}, ErrNotReading
 	}
+	c := m.cache(kind)
+	c.load()
+	defer c.loaded()
 	began := ticks.Now()
 	b, err := m.Store.List(ctx, kind)
 	m.recordOutcome(err)
 	if err == nil {
-		m.cache(kind).replace(b, began)
+		c.replace(b, began)
 	}
 	return b, err
 }
@@ -160,7 +167,7 @@
 // Changes waits for changes after a revision; ErrHistoryGone means that a full list is needed.
 func (m *Mirror) Changes(ctx context.Context, kind string, since int64, wait time.Duration) (Batch, error) {
 	b, err := m.readFromPeer(ctx, kind, since, wait)
-	if err == nil || errors.Is(err, ErrHistoryGone) {
+	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrLoading) {
 		return b, err
 	}
 	if m.awaitsReader() {
@@ -185,7 +192,8 @@
 	return b, err
 }
 
-// readFromPeer reads from the host that reads the store for this one; ErrNotReading means that there is none or it failed.
+// readFromPeer reads from the host that reads the store for this one; ErrNotReading means that there is none or it failed,
+// ErrLoading that it will have the documents soon.
 func (m *Mirror) readFromPeer(ctx context.Context, kind string, since int64, wait time.Duration) (Batch, error) {
 	reader, ok := m.Readers.Reader()
 	if !ok || m.isAvoided(reader.Name) {
@@ -195,7 +203,7 @@
 	if err == nil && b.Age > maxAge {
 		err = errors.Newf("documents of host %s are %s old", reader.Name, b.Age)
 	}
-	if err == nil || errors.Is(err, ErrHistoryGone) || ctx.Err() != nil {
+	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrLoading) || ctx.Err() != nil {
 		m.mu.Lock()
 		m.lostAt = time.Time{}
 		m.mu.Unlock()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -43,6 +43,8 @@
 	isUndiscovered bool
 	// hosts is the number of hosts; 0 means 60.
 	hosts int
+	// lost counts the calls of LostReader.
+	lost int
 }
 
 func (r *fakeReaders) Reader() (Host, bool) {
@@ -56,7 +58,7 @@
 
 func (r *fakeReaders) MayRead() bool { return !r.isUndiscovered }
 
-func (r *fakeReaders) LostReader(string) {}
+func (r *fakeReaders) LostReader(string) { r.lost++ }
 
 func (r *fakeReaders) Hosts() int {
 	if r.hosts > 0 {
