fix(mirror): a slow list ends neither itself nor other calls

What callers saw: nothing on its own yet; part of the slow return after a kill of all hosts at 300 hosts. The class: a time limit of one call taken for the end of its connection.

Cause: a list that took longer than 0.6 s counted as a failure of the reading host, though its bytes were arriving, and its connection was closed together with the calls for the other kinds. All bytes were sent for nothing, then again by the next, smaller reader.

The new test on the code before (100 ms for each 4 KiB): the list fails after 0.6 s; now it arrives, and a call beside it too.

Why it works: a call ends when nothing has arrived on its connection for 0.6 s beyond its wait. A list from the store keeps its limit of 3 s.

--- a/internal/mirror/crowd_test.go
+++ b/internal/mirror/crowd_test.go
@@ -97,11 +97,13 @@
 	}
 }
 
-// pipe forwards connections to a host and counts the bytes that come back. While it is held, it reads none of them.
+// pipe forwards connections to a host and counts the bytes that come back. While it is held, it reads none of them; pause is
+// the time for each 4 KiB.
 type pipe struct {
 	address netip.AddrPort
 	bytes   atomic.Int64
 	isHeld  atomic.Bool
+	pause   atomic.Int64
 }
 
 func startPipe(t *testing.T, to netip.AddrPort) *pipe {
@@ -139,6 +141,7 @@
 			continue
 		}
 		n, err := far.Read(buf)
+		time.Sleep(time.Duration(p.pause.Load()))
 		p.bytes.Add(int64(n))
 		if _, writeErr := near.Write(buf[:n]); err != nil || writeErr != nil {
 			return
@@ -199,6 +202,33 @@
 	}
 }
 
+func TestListOnACrowdedLinkEndsNoCalls(t *testing.T) {
+	p := startCrowdReader(t)
+	p.pause.Store(int64(100 * time.Millisecond))
+	link := &Link{}
+	t.Cleanup(link.Close)
+	host := Host{Name: "reader", Address: p.address}
+	_, err := link.Read(t.Context(), host, "servers", 9000, 0)
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := link.Read(t.Context(), host, "servers", 9000, 10*time.Millisecond)
+		ended <- err
+	}()
+	began := time.Now()
+	b, err := link.Read(t.Context(), host, "servers", 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Changed), crowdServers)
+	assert.Assert(t, time.Since(began) > 2*responseTimeout, "a list that takes long")
+	assert.NilError(t, <-ended)
+
+	p.isHeld.Store(true)
+	time.Sleep(100 * time.Millisecond)
+	began = time.Now()
+	_, err = link.Read(t.Context(), host, "servers", 0, 0)
+	assert.Assert(t, err != nil && time.Since(began) < 2*responseTimeout, "a silent host: %s", time.Since(began))
+}
+
 func TestListsOfARegionsHostsFitTheReadersLink(t *testing.T) {
 	p := startCrowdReader(t)
 	link := &Link{}
--- a/internal/mirror/link.go
+++ b/internal/mirror/link.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// responseTimeout is the time that a call may take on top of its wait; after it the connection is closed.
+	// responseTimeout is the time without bytes from the host, beyond a call's wait, after which the connection is closed.
 	responseTimeout = 600 * time.Millisecond
 	// maxMessageBytes is enough for a list of several thousand documents.
 	maxMessageBytes = 16 << 20
@@ -36,18 +36,20 @@
 // Link is the client for reading from other hosts. The zero value is ready to use.
 type Link struct {
 	mu    sync.Mutex
-	conns map[Host]*grpc.ClientConn
+	conns map[Host]*conn
 }
 
 // Read reads all documents of a kind from a host (since 0), or waits for changes after a revision. It returns
-// ErrHistoryGone if a full list is needed.
+// ErrHistoryGone if a full list is needed. A call lasts as long as bytes of any call arrive from the host.
 func (l *Link) Read(ctx context.Context, from Host, kind string, since int64, wait time.Duration) (Batch, error) {
 	conn, err := l.conn(from)
 	if err != nil {
 		return Batch{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := conn.limitSilence(wait, func() { cancel(errSilent) })
+	defer silence.stop()
 	reply, err := mirpb.NewMirrorClient(conn).Read(ctx, &mirpb.ReadRequest{
 		Kind: kind, Since: since, WaitMs: wait.Milliseconds(), AcceptsPacked: true,
 	})
@@ -55,7 +57,10 @@
 		return Batch{}, ErrLoading
 	}
 	if err != nil {
-		l.closeConn(from)
+		l.closeConn(from, conn)
+		if errors.Is(context.Cause(ctx), errSilent) {
+			err = errSilent
+		}
 		return Batch{}, errors.Wrapf(err, "read from host %s", from.Name)
 	}
 	if reply.GetHistoryGone() {
@@ -73,35 +78,37 @@
 	return b, nil
 }
 
-func (l *Link) conn(to Host) (*grpc.ClientConn, error) {
+func (l *Link) conn(to Host) (*conn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if conn := l.conns[to]; conn != nil {
-		return conn, nil
+	if c := l.conns[to]; c != nil {
+		return c, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+to.Address.String(),
+	c := &conn{}
+	var err error
+	c.ClientConn, err = grpc.NewClient("passthrough:///"+to.Address.String(),
+		grpc.WithContextDialer(c.dial),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to host %s", to.Name)
 	}
 	if l.conns == nil {
-		l.conns = make(map[Host]*grpc.ClientConn)
+		l.conns = make(map[Host]*conn)
 	}
-	l.conns[to] = conn
-	return conn, nil
+	l.conns[to] = c
+	return c, nil
 }
 
-// closeConn closes the connection to a host that failed; the next call opens a new one.
-func (l *Link) closeConn(host Host) {
+// closeConn closes a connection that failed; the next call opens a new one.
+func (l *Link) closeConn(host Host, c *conn) {
 	l.mu.Lock()
-	conn := l.conns[host]
-	delete(l.conns, host)
-	l.mu.Unlock()
-	if conn != nil {
-		// The connection has failed already, so an error adds nothing.
-		_ = conn.Close()
+	if l.conns[host] == c {
+		delete(l.conns, host)
 	}
+	l.mu.Unlock()
+	// The connection has failed already, so an error adds nothing.
+	_ = c.Close()
 }
 
 // Close closes all connections.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -33,6 +33,8 @@
 	maxReaderAge = 2500 * time.Millisecond
 	// loadWait is how long one call for a list waits at a host that is reading its first one.
 	loadWait = 300 * time.Millisecond
+	// listTimeout bounds a list from the store.
+	listTimeout = 3 * time.Second
 )
 
 // Document is one object of the store, still encoded.
@@ -120,7 +122,9 @@
 	c.load()
 	defer c.loaded()
 	began := ticks.Now()
-	b, err := m.Store.List(ctx, kind)
+	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	b, err := m.Store.List(listCtx, kind)
 	m.recordOutcome(err)
 	if err == nil {
 		c.replace(b, began)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -23,8 +23,8 @@
 	readerPollInterval = 80 * time.Millisecond
 	// responseSlack is added to the wait of a call for changes to give the call's timeout.
 	responseSlack = 2 * time.Second
-	// listTimeout bounds a full list.
-	listTimeout = 3 * time.Second
+	// listTimeout bounds a full list; a list from another host may take longer than one from the store.
+	listTimeout = 10 * time.Second
 )
 
 // Batch is a full list or the changes since a revision, in order.
