fix(gossip): hosts that were never heard are not logged as silent

What callers saw: nothing.

Evidence: the new test on the code before reports all 299 hosts; now the two that sent a digest or a summary.

Why it works: silence is only reported, and the load only dropped, of hosts that have sent something to this one.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -381,7 +381,8 @@
 	var unresponsive []string
 	isRelayed := g.isRelayed(time.Now())
 	for name, p := range g.peers {
-		if isRelayed && p.domain != g.Domain {
+		if isRelayed && (p.domain != g.Domain || p.reportedAt.IsZero() && p.relayedAt.IsZero()) {
+			// Only relays and the hosts that report to this one are heard.
 			continue
 		}
 		if !p.unresponsive && !p.lastSeen.IsZero() && time.Since(p.lastSeen) > unresponsiveAfter {
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -66,6 +66,24 @@
 	assert.Equal(t, relays[0].cores, 0.8)
 }
 
+func TestOnlyHostsThatWereHeardFallSilent(t *testing.T) {
+	const hosts = 300
+	seen := time.Now().Add(-2 * unresponsiveAfter)
+	g := New()
+	g.Self, g.Domain, g.Pool, g.peers = "h0", "d0", &pool.Pool{}, make(map[string]*peer)
+	g.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
+	for i := 1; i < hosts; i++ {
+		name := fmt.Sprintf("h%d", i)
+		g.peers[name] = &peer{name: name, domain: "d0", lastSeen: seen, firstSeen: seen}
+	}
+	g.peers["h1"].reportedAt = seen
+	g.peers["h2"].relayedAt = seen
+	g.expire()
+	for name, p := range g.peers {
+		assert.Equal(t, p.unresponsive, name == "h1" || name == "h2", name)
+	}
+}
+
 func TestChangesAreSentThriceAndAllInTurn(t *testing.T) {
 	var c changes
 	loads := make(map[string]pool.Load)
