fix(mirror): a host that does not read one kind ends no other calls

What callers saw: nothing on its own; part of the slow return after a kill of all hosts.

Cause: the reply "does not read the store" was taken for a failure of the connection, which was closed together with the calls for the other kinds.

The new test on the code before: the call beside it is cancelled.

Why it works: an error that the other host returns leaves the connection open.

--- a/internal/mirror/crowd_test.go
+++ b/internal/mirror/crowd_test.go
@@ -229,6 +229,23 @@
 	assert.Assert(t, err != nil && time.Since(began) < 2*responseTimeout, "a silent host: %s", time.Since(began))
 }
 
+func TestHostThatDoesNotReadOneKindEndsNoOtherCalls(t *testing.T) {
+	reader := newMirror(&fakeStore{batch: Batch{Revision: 10}}, &fakeReaders{})
+	_, err := reader.List(t.Context(), "config")
+	assert.NilError(t, err)
+	link, host := &Link{}, serve(t, reader)
+	t.Cleanup(link.Close)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := link.Read(t.Context(), host, "config", 10, 500*time.Millisecond)
+		ended <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	_, err = link.Read(t.Context(), host, "servers", 0, 0)
+	assert.ErrorContains(t, err, ErrNotReading.Error())
+	assert.NilError(t, <-ended)
+}
+
 func TestListsOfARegionsHostsFitTheReadersLink(t *testing.T) {
 	p := startCrowdReader(t)
 	link := &Link{}
--- a/internal/mirror/link.go
+++ b/internal/mirror/link.go
@@ -57,7 +57,10 @@
 		return Batch{}, ErrLoading
 	}
 	if err != nil {
-		l.closeConn(from, conn)
+		// An error that the host returns, which has the code Unknown, is none of the connection.
+		if status.Code(err) != codes.Unknown {
+			l.closeConn(from, conn)
+		}
 		if errors.Is(context.Cause(ctx), errSilent) {
 			err = errSilent
 		}
