perf(mirror): pack lists at the compressor's fastest level

Cause: packing counts as silence of the reader, which has 0.6 s. A list of 3,000 servers took 271 to 486 ms to pack under the race detector, and 13 to 21 ms without, on a whole processor; a small host has a fifth of one.

Packing still counts as silence: a reader that needs longer than 0.6 s for it is taken for lost.

--- a/internal/mirror/pack.go
+++ b/internal/mirror/pack.go
@@ -60,7 +60,7 @@
 		return nil, errors.Wrap(err, "encode documents")
 	}
 	var packed bytes.Buffer
-	w, err := flate.NewWriter(&packed, flate.DefaultCompression)
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
 	if err != nil {
 		return nil, errors.Wrap(err, "compress documents")
 	}
