--- a/internal/mirror/link.go
+++ b/internal/mirror/link.go
@@ -9,14 +9,16 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"github.com/tarragonspur/tarragonspur/internal/mirror/mirpb"
 )
 
 const (
-	// responseTimeout is the time that a call may take on top of its wait; after it the connection is closed.
+	// responseTimeout is the time without bytes from the host, beyond a call's wait, after which the connection is closed.
 	responseTimeout = 600 * time.Millisecond
 	// maxMessageBytes is enough for a list of several thousand documents.
 	maxMessageBytes = 16 << 20
@@ -34,62 +36,82 @@
 // Link is the client for reading from other hosts. The zero value is ready to use.
 type Link struct {
 	mu    sync.Mutex
-	conns map[Host]*grpc.ClientConn
+	conns map[Host]*conn
 }
 
 // Read reads all documents of a kind from a host (since 0), or waits for changes after a revision. It returns
-// ErrHistoryGone if a full list is needed.
+// ErrHistoryGone if a full list is needed. A call lasts as long as bytes of any call arrive from the host.
 func (l *Link) Read(ctx context.Context, from Host, kind string, since int64, wait time.Duration) (Batch, error) {
 	conn, err := l.conn(from)
 	if err != nil {
 		return Batch{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
-	defer cancel()
-	reply, err := mirpb.NewMirrorClient(conn).Read(ctx, &mirpb.ReadRequest{Kind: kind, Since: since, WaitMs: wait.Milliseconds()})
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := conn.limitSilence(wait, func() { cancel(errSilent) })
+	defer silence.stop()
+	reply, err := mirpb.NewMirrorClient(conn).Read(ctx, &mirpb.ReadRequest{
+		Kind: kind, Since: since, WaitMs: wait.Milliseconds(), AcceptsPacked: true,
+	})
+	if status.Code(err) == codes.Aborted {
+		return Batch{}, ErrLoading
+	}
 	if err != nil {
-		l.closeConn(from)
+		// An error that the host returns, which has the code Unknown, is none of the connection.
+		if status.Code(err) != codes.Unknown {
+			l.closeConn(from, conn)
+		}
+		if errors.Is(context.Cause(ctx), errSilent) {
+			err = errSilent
+		}
 		return Batch{}, errors.Wrapf(err, "read from host %s", from.Name)
 	}
 	if reply.GetHistoryGone() {
 		return Batch{}, ErrHistoryGone
 	}
 	b := Batch{Revision: reply.GetRevision(), Removed: reply.GetRemoved(), Age: time.Duration(reply.GetAgeUs()) * time.Microsecond}
-	for _, d := range reply.GetChanged() {
-		b.Changed = append(b.Changed, Document{Name: d.GetName(), Revision: d.GetRevision(), Body: d.GetBody()})
+	b.Changed = decodeDocuments(reply.GetChanged())
+	if len(reply.GetPacked()) > 0 {
+		documents, err := unpackDocuments(reply.GetPacked())
+		if err != nil {
+			return Batch{}, errors.Wrapf(err, "read from host %s", from.Name)
+		}
+		b.Changed, b.Removed = decodeDocuments(documents.GetChanged()), documents.GetRemoved()
 	}
 	return b, nil
 }
 
-func (l *Link) conn(to Host) (*grpc.ClientConn, error) {
+func (l *Link) conn(to Host) (*conn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if conn := l.conns[to]; conn != nil {
-		return conn, nil
+	if c := l.conns[to]; c != nil {
+		return c, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+to.Address.String(),
+	c := &conn{}
+	var err error
+	c.ClientConn, err = grpc.NewClient("passthrough:///"+to.Address.String(),
+		grpc.WithContextDialer(c.dial),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to host %s", to.Name)
 	}
 	if l.conns == nil {
-		l.conns = make(map[Host]*grpc.ClientConn)
+		l.conns = make(map[Host]*conn)
 	}
-	l.conns[to] = conn
-	return conn, nil
+	l.conns[to] = c
+	return c, nil
 }
 
-// closeConn closes the connection to a host that failed; the next call opens a new one.
-func (l *Link) closeConn(host Host) {
+// closeConn closes a connection that failed; the next call opens a new one.
+func (l *Link) closeConn(host Host, c *conn) {
 	l.mu.Lock()
-	conn := l.conns[host]
-	delete(l.conns, host)
-	l.mu.Unlock()
-	if conn != nil {
-		// The connection has failed already, so an error adds nothing.
-		_ = conn.Close()
+	if l.conns[host] == c {
+		delete(l.conns, host)
 	}
+	l.mu.Unlock()
+	// The connection has failed already, so an error adds nothing.
+	_ = c.Close()
 }
 
 // Close closes all connections.
@@ -112,17 +134,23 @@
 
 // Read returns documents that this host has read from the store.
 func (s *Server) Read(ctx context.Context, in *mirpb.ReadRequest) (*mirpb.ReadReply, error) {
-	b, err := s.Mirror.cache(in.GetKind()).read(ctx, in.GetSince(), time.Duration(in.GetWaitMs())*time.Millisecond)
+	c := s.Mirror.cache(in.GetKind())
+	b, err := c.read(ctx, in.GetSince(), time.Duration(in.GetWaitMs())*time.Millisecond)
 	if errors.Is(err, ErrHistoryGone) {
 		return &mirpb.ReadReply{HistoryGone: true}, nil
 	}
+	if errors.Is(err, ErrLoading) {
+		return nil, status.Error(codes.Aborted, err.Error())
+	}
 	if err != nil {
 		return nil, err
 	}
-	reply := &mirpb.ReadReply{Revision: b.Revision, Removed: b.Removed, AgeUs: b.Age.Microseconds()}
-	for _, d := range b.Changed {
-		reply.Changed = append(reply.Changed, &mirpb.Document{Name: d.Name, Revision: d.Revision, Body: d.Body})
+	reply := &mirpb.ReadReply{Revision: b.Revision, AgeUs: b.Age.Microseconds()}
+	if in.GetAcceptsPacked() && len(b.Changed)+len(b.Removed) >= minPackedDocuments {
+		reply.Packed, err = c.pack(b, in.GetSince())
+		return reply, err
 	}
+	reply.Changed, reply.Removed = encodeDocuments(b.Changed), b.Removed
 	return reply, nil
 }
 
@@ -137,6 +165,7 @@
 		return errors.Wrapf(err, "listen on %s", s.Address)
 	}
 	server := grpc.NewServer(
+		grpc.ForceServerCodecV2(newCodec()),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAliveTime, Timeout: keepAliveTimeout}),
 	)
