test(gossip): runs end only when all hosts have missed the relay that stopped

Seen: TestLargeDeploymentsReportToRelays failed beside load, "timeout hit after 15s: h01 to miss the relay that has stopped".

Cause: the test. It waited for one host after the other to see 29 runs, and ended a run after each; a host that was asked later saw fewer runs from then on.

--- a/internal/gossip/relay_test.go
+++ b/internal/gossip/relay_test.go
@@ -85,10 +85,12 @@
 			m.stop()
 		}
 	}
-	for i, m := range all {
+	for _, m := range all {
 		eventually(t, m.Self+" to miss the relay that has stopped", func() bool { return m.Self == stopped || runs(m) == hosts-1 && m.LiveCount() == hosts-1 })
 		assert.Equal(t, m.Hosts(), hosts, "a host that has stopped keeps its share of divided budgets")
-		leases[i].Release()
+	}
+	for _, lease := range leases {
+		lease.Release()
 	}
 	for _, m := range all {
 		eventually(t, m.Self+" to see that the runs ended", func() bool { return m.Self == stopped || runs(m) == 0 })
