fix(front): a backend server that crashes within a unary answer is evidence

Seen by callers: nothing yet; found in a review. Unary requests with a part that crashes backend servers, or repeats of one request, go on crashing them if the crash comes after the head of the answer: neither part nor request is ever quarantined.

Cause: the class is an outcome that only some paths record. A send that fails and a stream that breaks before its first event are probed; an answer that breaks while its body is read was recorded in the lease only.

Change: such a break is probed as well, unless the request has ended.

Evidence: TestServerThatCrashesWithinAnAnswerIsEvidence failed before: six requests reached 6 backend servers on a non-idempotent route and 12 on an idempotent one, now 2 and 3.

--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -131,3 +131,30 @@
 	r.Wait(t.Context())
 	assert.Equal(t, len(r.received()), 2)
 }
+
+func TestServerThatCrashesWithinAnAnswerIsEvidence(t *testing.T) {
+	for _, tc := range []struct {
+		path string
+		// sends is one more if a request is sent twice: the two crashes are so close that they count once.
+		sends int
+	}{{"/book/x", 2}, {"/read/x", 3}} {
+		t.Run(tc.path, func(t *testing.T) {
+			r := newRig(t, 8)
+			for _, e := range r.engines {
+				e.Script = func(conn net.Conn, q *plat.Request) bool {
+					e.MarkRun(q)
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n%sContent-Length: 20\r\n\r\nhalf", q.Attempt(), plat.Signature)
+					e.Crash()
+					return true
+				}
+			}
+			for i := range 6 {
+				request := report(i, "aa:40,dead:40")
+				request.path = tc.path
+				assert.Assert(t, r.do(t, request).status >= http.StatusInternalServerError)
+				r.recover(t)
+			}
+			assert.Equal(t, len(r.received()), tc.sends)
+		})
+	}
+}
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -91,11 +91,11 @@
 		return nil, err
 	}
 	defer answer.Close()
-	return q.readAnswer(lease, answer)
+	return q.readAnswer(ctx, lease, answer)
 }
 
-// readAnswer reads the body of an answer and records the outcome in the lease.
-func (q *request) readAnswer(lease *pool.Lease, answer *send.Answer) (*fullAnswer, error) {
+// readAnswer reads the body of an answer and records the outcome in the lease. A backend server may crash within an answer.
+func (q *request) readAnswer(ctx context.Context, lease *pool.Lease, answer *send.Answer) (*fullAnswer, error) {
 	held := int64(0)
 	defer func() { q.buffered.Add(-held) }()
 	var body bytes.Buffer
@@ -108,6 +108,8 @@
 			lease.RecordAnswer(answer.Status >= http.StatusInternalServerError)
 			q.guarded.Answered()
 			return &fullAnswer{status: answer.Status, header: answer.Header, body: body.Bytes(), server: lease.Server.ID}, nil
+		case err != nil && ctx.Err() == nil:
+			q.checkForCrash(lease.Server)
 		case err == nil && (body.Len() > maxAnswerBytes || body.Len() > answerChunkBytes && buffered > maxBufferedBytes):
 			err = errors.Newf("answer exceeds %d bytes, or all answers in progress exceed %d", maxAnswerBytes, maxBufferedBytes)
 		}
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -112,7 +112,7 @@
 	if answer.Status >= http.StatusMultipleChoices {
 		defer q.close(f)
 		defer answer.Close()
-		full, err := q.readAnswer(lease, answer)
+		full, err := q.readAnswer(ctx, lease, answer)
 		return nil, full, err
 	}
 	f.header, f.status = answer.Header, answer.Status
