fix(crash): a report that a suspended host reads late is no second crash

Seen by callers: nothing yet; found in a review. After a host was suspended for some seconds, sound requests may be refused at all hosts for up to a minute: one crash under a request or a new part counts as two.

Cause: reports state ages, and a host that was suspended reads what has queued at its socket as if it had just been sent. Reports of one crash were matched by time, 1.5 s apart at most; those read late differ by more, among each other too, since a crash is reported for two seconds. The host then passes the second crash on to the others.

Change: a crash is identified by the backend server and its start time too. Times decide only where the start is unknown, or where it has changed.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -56,6 +56,14 @@
 	version uint64
 }
 
+// Server is a backend server that may have crashed.
+type Server struct {
+	ID      string
+	Address netip.AddrPort
+	// StartedMS is when it started, in Unix milliseconds; 0 if unknown.
+	StartedMS int64
+}
+
 // Run is a request in progress at this host.
 type Run struct {
 	table *Table
@@ -198,7 +206,7 @@
 // Broke finds out in the background whether the backend server that broke the request's connection has crashed, and if so,
 // records evidence against the request's keys. A request that was already being answered is not accused. ended is called
 // at the end.
-func (r *Run) Broke(ctx context.Context, server string, address netip.AddrPort, ended func()) {
+func (r *Run) Broke(ctx context.Context, server Server, ended func()) {
 	brokeAt, probed := r.table.now(), make(chan struct{})
 	r.table.mu.Lock()
 	isAnswered := r.isAnswered
@@ -213,29 +221,29 @@
 	go func() {
 		defer ended()
 		defer close(probed)
-		r.probe(ctx, server, address, brokeAt)
+		r.probe(ctx, server, brokeAt)
 	}()
 }
 
 // probe connects to a backend server, and records a crash if its port is closed.
-func (r *Run) probe(ctx context.Context, server string, address netip.AddrPort, brokeAt time.Duration) {
+func (r *Run) probe(ctx context.Context, server Server, brokeAt time.Duration) {
 	if !ticks.Sleep(ctx, probeDelay) {
 		return
 	}
 	t := r.table
 	dialer := net.Dialer{Timeout: probeTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	conn, err := dialer.DialContext(ctx, "tcp", server.Address.String())
 	if err == nil {
 		_ = conn.Close()
 	}
 	// Only a closed port shows a crash: a connection attempt that times out may be the network's fault.
 	isCrashed := errors.Is(err, syscall.ECONNREFUSED)
-	t.Log.Info("backend server broke a request", "request", r.id, "server", server, "crashed", isCrashed, "parts", r.keys.Parts, "whole", r.keys.Whole, "error", err)
+	t.Log.Info("backend server broke a request", "request", r.id, "server", server.ID, "crashed", isCrashed, "parts", r.keys.Parts, "whole", r.keys.Whole, "error", err)
 	if isCrashed {
 		t.mu.Lock()
 		r.crashes++
 		t.mu.Unlock()
-		t.accuse(r.keys, Crash{Server: server, at: brokeAt})
+		t.accuse(r.keys, Crash{Server: server.ID, StartedMS: server.StartedMS, at: brokeAt})
 	}
 }
 
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -59,7 +59,7 @@
 func (r *Run) broke(t *testing.T, server string, address netip.AddrPort) {
 	t.Helper()
 	ended := make(chan struct{})
-	r.Broke(t.Context(), server, address, func() { close(ended) })
+	r.Broke(t.Context(), Server{ID: server, Address: address}, func() { close(ended) })
 	<-ended
 }
 
@@ -83,7 +83,7 @@
 	r := table.Enter("r", Keys{Parts: []uint64{1}, Whole: 7}, func() {})
 	for _, server := range []string{"a", "b"} {
 		assert.NilError(t, r.Send(t.Context(), server))
-		r.Broke(t.Context(), server, dead, func() {})
+		r.Broke(t.Context(), Server{ID: server, Address: dead}, func() {})
 	}
 	assert.ErrorIs(t, r.Send(t.Context(), "c"), ErrQuarantined, "crashes at the same time are no evidence, but those under one request follow each other")
 	assert.Equal(t, table.wait(Keys{Parts: []uint64{1}, Whole: 8}), time.Duration(0))
@@ -373,3 +373,24 @@
 	}
 	assert.Equal(t, late.Quarantined(), a.Quarantined(), "a host that starts learns of all quarantined keys in turn")
 }
+
+func TestReportsThatAHostReadsLateAddNoCrashes(t *testing.T) {
+	c := newClock()
+	keys := Keys{Parts: []uint64{3}, Whole: 9}
+	a, b, suspended := c.table("a"), c.table("b"), c.table("suspended")
+	a.accuse(keys, Crash{Server: "s1", StartedMS: 1_700_000_000_000, at: c.now})
+	var unread [][]Evidence
+	for range 10 {
+		unread = append(unread, a.Report())
+		exchange(a, b)
+		c.now += announceFor / 10
+	}
+	c.now += 5 * time.Second
+	for _, report := range unread {
+		suspended.Merge(report)
+	}
+	assert.Equal(t, suspended.wait(keys), time.Duration(0), "one backend server crashed once")
+	exchange(suspended, a, b)
+	assert.Equal(t, a.wait(keys), time.Duration(0))
+	assert.Equal(t, b.wait(keys), time.Duration(0))
+}
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -74,6 +74,8 @@
 	_ struct{} `cbor:",toarray"`
 
 	Server string
+	// StartedMS is when the backend server had started, in Unix milliseconds; 0 if unknown.
+	StartedMS int64
 	// AgeMS is the time since the crash, in milliseconds, when it was sent to another host.
 	AgeMS int64
 
@@ -94,12 +96,19 @@
 	changedAt time.Duration
 }
 
+// isSame reports whether two reports concern the same crash. A backend server crashes once between two starts, however late
+// a host reads a report.
+func (c Crash) isSame(o Crash) bool {
+	if c.Server != o.Server {
+		return false
+	}
+	return c.StartedMS != 0 && c.StartedMS == o.StartedMS || (c.at-o.at).Abs() < sameCrash
+}
+
 // add adds a crash unless it is known.
 func (e *evidence) add(c Crash) bool {
-	for _, known := range e.crashes {
-		if known.Server == c.Server && (known.at-c.at).Abs() < sameCrash {
-			return false
-		}
+	if slices.ContainsFunc(e.crashes, c.isSame) {
+		return false
 	}
 	e.crashes = append(e.crashes, c)
 	slices.SortFunc(e.crashes, func(a, b Crash) int { return cmp.Compare(a.at, b.at) })
--- a/internal/crash/share.go
+++ b/internal/crash/share.go
@@ -113,7 +113,7 @@
 func (e *evidence) encode(now time.Duration) Evidence {
 	r := Evidence{Key: e.key, AnswerAgeMS: ageMS(e.answeredAt, now), Trials: e.trials, TrialAgeMS: ageMS(e.triedAt, now)}
 	for _, c := range e.crashes {
-		r.Crashes = append(r.Crashes, Crash{Server: c.Server, AgeMS: ageMS(c.at, now)})
+		r.Crashes = append(r.Crashes, Crash{Server: c.Server, StartedMS: c.StartedMS, AgeMS: ageMS(c.at, now)})
 	}
 	return r
 }
@@ -122,7 +122,7 @@
 	e := &evidence{key: r.Key, trials: max(0, r.Trials), answeredAt: timeOf(r.AnswerAgeMS, now), triedAt: timeOf(r.TrialAgeMS, now)}
 	for _, c := range r.Crashes[:min(len(r.Crashes), MaxCrashes)] {
 		if at := timeOf(c.AgeMS, now); at > 0 {
-			e.crashes = append(e.crashes, Crash{Server: c.Server, at: at})
+			e.crashes = append(e.crashes, Crash{Server: c.Server, StartedMS: c.StartedMS, at: at})
 		}
 	}
 	return e
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -293,7 +293,7 @@
 // checkForCrash checks in the background whether the request has crashed a backend server.
 func (q *request) checkForCrash(s pool.Server) {
 	q.active.Add(1)
-	q.guarded.Broke(context.Background(), s.ID, s.Address, q.active.Done)
+	q.guarded.Broke(context.Background(), crash.Server{ID: s.ID, Address: s.Address, StartedMS: s.StartedMS}, q.active.Done)
 }
 
 // hostName strips the port from a host.
