fix(gossip): evidence of crashes does not keep digests and summaries from being sent

Seen by callers: nothing yet; found in a review. While much evidence is reported, a host with work at some 200 backend servers falls silent to all others, and in deployments with relays every fifth summary is lost together with all evidence and members.

Cause: datagrams of more than 8 KiB are not sent at all. A full report of evidence takes 3.5 to 5 KB, which neither digests nor summaries made room for. TestSummariesFitADatagram did not notice: at the period that it plays, summaries hold neither evidence nor members.

Change: relays send the evidence in a summary of its own; digests hold as much of it as fits. The test plays a period with evidence and members and checks that both are sent.

Evidence: so changed, the test failed before with 10028 bytes (11180 with start times in the evidence); TestDigestWithEvidenceFitsADatagram fails with 10856 bytes if the evidence is not cut.

--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -17,6 +17,31 @@
 )
 
 // TestSummariesFitADatagram brings about an outage in which every host reads the store itself, with many backend servers.
+// fullReport returns as much evidence of crashes as a host reports.
+func fullReport() []crash.Evidence {
+	crashes := make([]crash.Evidence, crash.MaxReported)
+	for i := range crashes {
+		crashes[i] = crash.Evidence{Key: 1 << 63, AnswerAgeMS: 1 << 20, Trials: 3, TrialAgeMS: 1 << 20}
+		for range crash.MaxCrashes {
+			crashes[i].Crashes = append(crashes[i].Crashes, crash.Crash{Server: "i-0123456789", StartedMS: time.Now().UnixMilli(), AgeMS: 1 << 16})
+		}
+	}
+	return crashes
+}
+
+func TestDigestWithEvidenceFitsADatagram(t *testing.T) {
+	d := Digest{Host: "edge-failure-domain-0-host-000", Crashes: fullReport()}
+	for i := range 250 {
+		d.Loads = append(d.Loads, ServerLoad{Server: fmt.Sprintf("i-%010x", i), Runs: 20, Tokens: 300000, Pending: 90000})
+	}
+	payload, err := encodeDigest(d)
+	assert.NilError(t, err)
+	assert.Assert(t, len(payload) <= maxDatagram, "%d bytes", len(payload))
+	var m message
+	assert.NilError(t, cbor.Unmarshal(payload, &m))
+	assert.Assert(t, len(m.Digest.Loads) == len(d.Loads) && len(m.Digest.Crashes) > 0)
+}
+
 func TestSummariesFitADatagram(t *testing.T) {
 	now := time.Now()
 	g := New()
@@ -36,22 +61,21 @@
 		others.Loads[fmt.Sprintf("i-%010x", i)] = pool.Load{Runs: 20, Tokens: 300000, PendingPromptTokens: 90000}
 	}
 	g.others = others
-	crashes := make([]crash.Evidence, crash.MaxReported)
-	for i := range crashes {
-		crashes[i] = crash.Evidence{Key: 1 << 63, AnswerAgeMS: 1 << 20, Trials: 3, TrialAgeMS: 1 << 20}
-		for range crash.MaxCrashes {
-			crashes[i].Crashes = append(crashes[i].Crashes, crash.Crash{Server: "i-0123456789", AgeMS: 1 << 16})
-		}
-	}
+	crashes := fullReport()
+	g.ticks = memberPeriods - 1
 	parcels := g.parcels(others, g.reportingHosts(now), crashes, now)
 	assert.Assert(t, len(parcels) > 0)
+	reported, members := 0, 0
 	for _, p := range parcels {
+		reported += len(p.summary.Crashes)
+		members += len(p.summary.Members)
 		encoded, err := cbor.Marshal(p.summary)
 		assert.NilError(t, err)
 		payload, err := cbor.Marshal(message{Summary: encoded, Incarnation: now.UnixMilli(), Included: 1 << 40, Rank: 999})
 		assert.NilError(t, err)
 		assert.Assert(t, len(payload) <= maxDatagram, "%d bytes", len(payload))
 	}
+	assert.Assert(t, reported > 0 && members > 0)
 }
 
 // TestHostsFromTheStoreAreCompletedByIntroductions checks that hosts known by address only can become relays.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -70,7 +70,7 @@
 	if len(to) == 0 {
 		return
 	}
-	payload, err := cbor.Marshal(message{Digest: &d})
+	payload, err := encodeDigest(d)
 	if err != nil || len(payload) > maxDatagram {
 		g.Log.Error("digest not sent", "bytes", len(payload), "error", err)
 		return
@@ -81,6 +81,17 @@
 	}
 }
 
+// encodeDigest encodes a digest with as much evidence of crashes as fits.
+func encodeDigest(d Digest) ([]byte, error) {
+	for {
+		payload, err := cbor.Marshal(message{Digest: &d})
+		if err != nil || len(payload) <= maxDatagram || len(d.Crashes) == 0 {
+			return payload, err
+		}
+		d.Crashes = d.Crashes[:len(d.Crashes)/2]
+	}
+}
+
 // due returns the addresses that a digest is due for. Hosts of the same region place requests on the same backend
 // servers and receive changes at once; the more hosts there are, the less often each sends changes. Evidence of crashes
 // concerns the hosts of all regions.
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -158,18 +158,26 @@
 	return append(g.split(inside, total, &g.toHosts, toHosts), g.split(outside, domain, &g.toRelays, toRelays)...)
 }
 
-// split fills the counts into a summary and into as many further ones as the loads need; the caller holds the lock.
+// split fills the counts into a summary and into as many further ones as the loads and the evidence of crashes need; the caller
+// holds the lock.
 func (g *Gossip) split(s Summary, c tally.Counts, sent *changes, to []recipient) []parcel {
 	s.Services, s.Hosts, s.Known, s.HasCounts = servicesOf(c.Services), c.Hosts, c.Known, true
 	loads := sent.due(c.Loads, g.ticks, s.IsPrimary)
 	var all []parcel
+	crashes := s.Crashes
+	s.Crashes = nil
 	for s.HasCounts || len(loads) > 0 {
 		n := min(len(loads), maxSummaryLoads)
 		s.Loads, loads = loads[:n], loads[n:]
 		g.sequence++
 		s.Sequence = g.sequence
 		all = append(all, parcel{s, to})
-		s.Services, s.Crashes, s.Members, s.HasCounts = nil, nil, nil, false
+		s.Services, s.Members, s.HasCounts = nil, nil, false
+	}
+	if len(crashes) > 0 {
+		g.sequence++
+		s.Sequence, s.Loads, s.Crashes = g.sequence, nil, crashes
+		all = append(all, parcel{s, to})
 	}
 	return all
 }
