fix(crash): keys that only come together are tried too

Seen by callers: nothing yet; found in a review. A request that two backend servers crash under one after the other, for any reason, quarantines itself and its new parts, such as those of a conversation. Requests that hold two of these keys are refused for 30 minutes, though backend servers have long been back.

Cause: a request with several quarantined keys was never a trial, on the assumption that each key also comes without the others. The parts of a conversation, and a request that its caller repeats, always come together.

Evidence: TestKeysThatAlwaysComeTogetherAreTried failed before (refused two minutes after the second crash).

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -89,28 +89,31 @@
 func (t *Table) Check(keys Keys) (wait time.Duration, key uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wait, e := t.check(keys, t.now())
+	wait, quarantined := t.check(keys, t.now())
 	if wait == 0 {
 		return 0, 0
 	}
-	return wait, e.key
+	return wait, quarantined[0].key
 }
 
-// check returns how long requests with these keys are refused, and the quarantined key that one would be a trial of. A
-// request with several quarantined keys is no trial, since its crash would not tell which of them is the cause.
-func (t *Table) check(keys Keys, now time.Duration) (wait time.Duration, trial *evidence) {
+// check returns how long requests with these keys are refused, and the quarantined keys that one would be a trial of. A
+// request with several of them comes after those with one, since its crash would not tell which of them is the cause.
+func (t *Table) check(keys Keys, now time.Duration) (wait time.Duration, quarantined []*evidence) {
 	for key := range keys.all() {
 		e := t.keys[key]
 		if e == nil || !e.isQuarantined(now) {
 			continue
 		}
 		left := e.trialAt(t.Host) - now
-		if trial != nil {
-			left = max(left, trialInterval)
+		if len(quarantined) == 0 || left > wait {
+			wait = left
 		}
-		wait, trial = max(wait, left), e
+		quarantined = append(quarantined, e)
 	}
-	return max(wait, 0), trial
+	if len(quarantined) > 1 {
+		wait += (1 + trialSpread) * trialInterval
+	}
+	return max(wait, 0), quarantined
 }
 
 // Enter registers a request. Until it is sent, abort is called if one of its keys is quarantined.
@@ -136,15 +139,15 @@
 		return nil
 	}
 	now := t.now()
-	wait, trial := t.check(r.keys, now)
+	wait, quarantined := t.check(r.keys, now)
 	if wait > 0 || r.crashes >= maxOwnCrashes {
 		return ErrQuarantined
 	}
 	delete(t.waiting, r)
-	if trial != nil {
-		trial.trials++
-		trial.triedAt, trial.changedAt = now, now
-		t.Log.Info("quarantined key tried", "request", r.id, "server", server, "key", trial.key, "trials", trial.trials, "last_crash", now-trial.lastCrash())
+	for _, e := range quarantined {
+		e.trials++
+		e.triedAt, e.changedAt = now, now
+		t.Log.Info("quarantined key tried", "request", r.id, "server", server, "key", e.key, "trials", e.trials, "last_crash", now-e.lastCrash())
 		t.changed()
 	}
 	return nil
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -394,3 +394,19 @@
 	assert.Equal(t, a.wait(keys), time.Duration(0))
 	assert.Equal(t, b.wait(keys), time.Duration(0))
 }
+
+func TestKeysThatAlwaysComeTogetherAreTried(t *testing.T) {
+	c := newClock()
+	table, dead := c.table("a"), deadAddress(t)
+	keys := Keys{Parts: []uint64{3, 4}, Whole: 9}
+	r := table.Enter("r", keys, func() {})
+	for _, server := range []string{"s1", "s2"} {
+		assert.NilError(t, r.Send(t.Context(), server))
+		r.broke(t, server, dead)
+		c.now += time.Second
+	}
+	assert.Assert(t, table.wait(keys) > 0)
+	c.now += 2 * (1 + trialSpread) * trialInterval
+	run(t, table, keys, "s3").Answered()
+	assert.Equal(t, table.wait(keys), time.Duration(0))
+}
