fix(crash): a quarantine that an answer has ended does not come back

Seen by callers: nothing yet; found in a review. Sound requests are refused again, for up to a minute, when a host that was cut off for more than two seconds comes back, though the part in question has long been exonerated.

Cause: evidence with an answer is dropped after 5 s, while a host that missed it goes on to report the quarantine. Hosts that had the answer from others only had forgotten it, and those that had seen it did not announce it again.

Change: hosts remember answers that others report, as they do their own, and announce again an answer that a report lacks.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -321,19 +321,19 @@
 	t.Log.Warn("evidence dropped: too many keys", "before", len(all), "after", len(t.keys))
 }
 
-// remember records an answer under a part; the caller holds the lock.
-func (t *Table) remember(part uint64, now time.Duration) {
+// remember records an answer under a key; the caller holds the lock.
+func (t *Table) remember(key uint64, answeredAt time.Duration) {
 	if t.answers == nil {
 		t.answers = make(map[uint64]time.Duration)
 	}
-	if _, known := t.answers[part]; !known && len(t.answers) >= maxAnswers {
+	if _, known := t.answers[key]; !known && len(t.answers) >= maxAnswers {
 		for old, at := range t.answers {
-			if now-at > evidenceTTL || len(t.answers) >= maxAnswers {
+			if answeredAt-at > evidenceTTL || len(t.answers) >= maxAnswers {
 				delete(t.answers, old)
 			}
 		}
 	}
-	t.answers[part] = now
+	t.answers[key] = max(t.answers[key], answeredAt)
 }
 
 // logQuarantine logs a key whose quarantine has begun; the caller holds the lock.
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -410,3 +410,24 @@
 	run(t, table, keys, "s3").Answered()
 	assert.Equal(t, table.wait(keys), time.Duration(0))
 }
+
+func TestQuarantineThatAnAnswerEndedDoesNotReturn(t *testing.T) {
+	c := newClock()
+	keys := Keys{Parts: []uint64{3}, Whole: 9}
+	a, b, cutOff := c.table("a"), c.table("b"), c.table("cut off")
+	inFlight := run(t, a, keys, "s7")
+	quarantine(t, c, a, 3)
+	exchange(a, b, cutOff)
+	c.now += time.Second
+	inFlight.Answered()
+	exchange(a, b)
+	c.now += exoneratedTTL + time.Second
+	exchange(a, b)
+	for range 3 {
+		exchange(a, b, cutOff)
+		c.now += time.Second
+	}
+	for _, h := range []*Table{a, b, cutOff} {
+		assert.Equal(t, h.wait(keys), time.Duration(0), h.Host)
+	}
+}
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -207,7 +207,8 @@
 	return now-e.changedAt > exoneratedTTL
 }
 
-// merge adds another host's evidence and reports whether it is new.
+// merge adds another host's evidence and reports whether other hosts need the result: it is new, or the other host does not
+// know of the answer that ended the quarantine.
 func (e *evidence) merge(o *evidence) bool {
 	isNew := false
 	for _, c := range o.crashes {
@@ -224,5 +225,5 @@
 	if o.trials > e.trials || o.trials == e.trials && o.triedAt > e.triedAt+ageError {
 		e.trials, e.triedAt, isNew = o.trials, o.triedAt, true
 	}
-	return isNew
+	return isNew || o.hasCrashes() && !e.hasCrashes()
 }
--- a/internal/crash/share.go
+++ b/internal/crash/share.go
@@ -97,6 +97,9 @@
 		wasQuarantined := e.isQuarantined(now)
 		if e.merge(r.decode(now)) {
 			e.changedAt = now
+			if e.hasAnswered() {
+				t.remember(e.key, e.answeredAt)
+			}
 			t.logQuarantine(e, wasQuarantined, now)
 			if wasQuarantined && !e.isQuarantined(now) {
 				t.Log.Info("quarantine ends by another host's evidence", "key", e.key, "crashes", len(e.crashes), "trials", e.trials)
