fix(crash): the number of a request's parts that are keys is bounded

Seen by callers: nothing yet; found in a review. One request with thousands of parts makes the host drop all evidence of other keys, and all answers that it remembers; its parts fill a line of the log each time that its connection breaks.

Change: the first 64 different parts are keys.

Evidence: TestPartsOfOneRequestAreBounded failed before.

--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -27,6 +27,8 @@
 	provenSpacing   = time.Second
 	// MaxCrashes is the number of crashes that are kept of one key.
 	MaxCrashes = 6
+	// maxParts bounds the parts of one request that are keys, so that it can't displace the evidence of others.
+	maxParts = 64
 	// trialInterval is the time after the last crash or trial from which one request with a quarantined key is sent, and
 	// failedInterval that after a trial that crashed its backend server. The hosts' times differ by up to trialSpread intervals, so that few hosts send one
 	// before they know of another's.
@@ -47,10 +49,13 @@
 }
 
 // NewKeys returns the keys of a request whose prompt has the given parts, in order. The last part belongs to the request
-// itself.
+// itself; those after the first maxParts are ignored.
 func NewKeys(parts []string, whole uint64) Keys {
 	k := Keys{Whole: whole}
 	for _, part := range parts[:max(0, len(parts)-1)] {
+		if len(k.Parts) == maxParts {
+			break
+		}
 		if key := xxhash.Sum64String(part); !slices.Contains(k.Parts, key) {
 			k.Parts = append(k.Parts, key)
 		}
--- a/internal/crash/evidence_test.go
+++ b/internal/crash/evidence_test.go
@@ -65,3 +65,13 @@
 	assert.Equal(t, o.isQuarantined(now), e.isQuarantined(now))
 	assert.Equal(t, o.trialAt("h"), e.trialAt("h"))
 }
+
+func TestPartsOfOneRequestAreBounded(t *testing.T) {
+	var parts []string
+	for i := range 20000 {
+		parts = append(parts, fmt.Sprint(i))
+	}
+	began := time.Now()
+	assert.Assert(t, len(NewKeys(parts, 1).Parts) <= maxParts, "one request can't displace the evidence of others")
+	assert.Assert(t, time.Since(began) < time.Second)
+}
