perf(crash): room for remembered answers is made for many at once

Each answer under a part that is not remembered yet visited all 8192 remembered ones under the table's lock once there were that many, which is the usual state of a host whose callers hold conversations.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -328,7 +328,8 @@
 	}
 	if _, known := t.answers[key]; !known && len(t.answers) >= maxAnswers {
 		for old, at := range t.answers {
-			if answeredAt-at > evidenceTTL || len(t.answers) >= maxAnswers {
+			// Room for many is made at once, since this visits all of them.
+			if answeredAt-at > evidenceTTL || len(t.answers) > maxAnswers*7/8 {
 				delete(t.answers, old)
 			}
 		}
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -431,3 +431,20 @@
 		assert.Equal(t, h.wait(keys), time.Duration(0), h.Host)
 	}
 }
+
+func BenchmarkAnswersUnderNewParts(b *testing.B) {
+	table := newClock().table("a")
+	part := uint64(0)
+	answer := func() {
+		part++
+		r := table.Enter("r", Keys{Parts: []uint64{part}, Whole: part}, func() {})
+		r.Answered()
+		r.End()
+	}
+	for range 2 * maxAnswers {
+		answer()
+	}
+	for b.Loop() {
+		answer()
+	}
+}
