fix(front): the copy of a run that is quarantined is freed

Seen by callers: nothing yet; found in a review. A run that may not go on at its standby copy, since it has crashed two backend servers, leaves the copy there: it takes memory and a slot until the engine drops it.

Cause: the refusal by Run.Send came after the claim had been released, and only copies that are handed over or discarded are ever freed.

--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -113,6 +113,9 @@
 	r := newRig(t, 12)
 	for _, e := range r.engines {
 		e.Script = func(conn net.Conn, q *plat.Request) bool {
+			if strings.HasPrefix(q.URL.Path, "/tarragonspur/") {
+				return false
+			}
 			if backup := q.Header.Get("Kv-Backup"); backup != "" {
 				r.copies.Add(backup + "/" + q.Attempt())
 			}
@@ -130,6 +133,7 @@
 	}
 	r.Wait(t.Context())
 	assert.Equal(t, len(r.received()), 2)
+	assert.Equal(t, r.copies.Count(), 0, "copies are freed")
 }
 
 func TestServerThatCrashesWithinAnAnswerIsEvidence(t *testing.T) {
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -153,6 +153,7 @@
 	}
 	if err := s.guarded.Send(s.ctx, lease.Server.ID); err != nil {
 		lease.Release()
+		s.discard(sb)
 		return nil, ForwardMetadata{}, err
 	}
 	metadata := s.forwardMetadata(lease.Server.ID)
