--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -56,6 +56,14 @@
 	version uint64
 }
 
+// Server is a backend server that may have crashed.
+type Server struct {
+	ID      string
+	Address netip.AddrPort
+	// StartedMS is when it started, in Unix milliseconds; 0 if unknown.
+	StartedMS int64
+}
+
 // Run is a request in progress at this host.
 type Run struct {
 	table *Table
@@ -81,28 +89,31 @@
 func (t *Table) Check(keys Keys) (wait time.Duration, key uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wait, e := t.check(keys, t.now())
+	wait, quarantined := t.check(keys, t.now())
 	if wait == 0 {
 		return 0, 0
 	}
-	return wait, e.key
+	return wait, quarantined[0].key
 }
 
-// check returns how long requests with these keys are refused, and the quarantined key that one would be a trial of. A
-// request with several quarantined keys is no trial, since its crash would not tell which of them is the cause.
-func (t *Table) check(keys Keys, now time.Duration) (wait time.Duration, trial *evidence) {
+// check returns how long requests with these keys are refused, and the quarantined keys that one would be a trial of. A
+// request with several of them comes after those with one, since its crash would not tell which of them is the cause.
+func (t *Table) check(keys Keys, now time.Duration) (wait time.Duration, quarantined []*evidence) {
 	for key := range keys.all() {
 		e := t.keys[key]
 		if e == nil || !e.isQuarantined(now) {
 			continue
 		}
 		left := e.trialAt(t.Host) - now
-		if trial != nil {
-			left = max(left, trialInterval)
+		if len(quarantined) == 0 || left > wait {
+			wait = left
 		}
-		wait, trial = max(wait, left), e
+		quarantined = append(quarantined, e)
+	}
+	if len(quarantined) > 1 {
+		wait += (1 + trialSpread) * trialInterval
 	}
-	return max(wait, 0), trial
+	return max(wait, 0), quarantined
 }
 
 // Enter registers a request. Until it is sent, abort is called if one of its keys is quarantined.
@@ -128,15 +139,15 @@
 		return nil
 	}
 	now := t.now()
-	wait, trial := t.check(r.keys, now)
+	wait, quarantined := t.check(r.keys, now)
 	if wait > 0 || r.crashes >= maxOwnCrashes {
 		return ErrQuarantined
 	}
 	delete(t.waiting, r)
-	if trial != nil {
-		trial.trials++
-		trial.triedAt, trial.changedAt = now, now
-		t.Log.Info("quarantined key tried", "request", r.id, "server", server, "key", trial.key, "trials", trial.trials, "last_crash", now-trial.lastCrash())
+	for _, e := range quarantined {
+		e.trials++
+		e.triedAt, e.changedAt = now, now
+		t.Log.Info("quarantined key tried", "request", r.id, "server", server, "key", e.key, "trials", e.trials, "last_crash", now-e.lastCrash())
 		t.changed()
 	}
 	return nil
@@ -198,7 +209,7 @@
 // Broke finds out in the background whether the backend server that broke the request's connection has crashed, and if so,
 // records evidence against the request's keys. A request that was already being answered is not accused. ended is called
 // at the end.
-func (r *Run) Broke(ctx context.Context, server string, address netip.AddrPort, ended func()) {
+func (r *Run) Broke(ctx context.Context, server Server, ended func()) {
 	brokeAt, probed := r.table.now(), make(chan struct{})
 	r.table.mu.Lock()
 	isAnswered := r.isAnswered
@@ -213,29 +224,29 @@
 	go func() {
 		defer ended()
 		defer close(probed)
-		r.probe(ctx, server, address, brokeAt)
+		r.probe(ctx, server, brokeAt)
 	}()
 }
 
 // probe connects to a backend server, and records a crash if its port is closed.
-func (r *Run) probe(ctx context.Context, server string, address netip.AddrPort, brokeAt time.Duration) {
+func (r *Run) probe(ctx context.Context, server Server, brokeAt time.Duration) {
 	if !ticks.Sleep(ctx, probeDelay) {
 		return
 	}
 	t := r.table
 	dialer := net.Dialer{Timeout: probeTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	conn, err := dialer.DialContext(ctx, "tcp", server.Address.String())
 	if err == nil {
 		_ = conn.Close()
 	}
 	// Only a closed port shows a crash: a connection attempt that times out may be the network's fault.
 	isCrashed := errors.Is(err, syscall.ECONNREFUSED)
-	t.Log.Info("backend server broke a request", "request", r.id, "server", server, "crashed", isCrashed, "parts", r.keys.Parts, "whole", r.keys.Whole, "error", err)
+	t.Log.Info("backend server broke a request", "request", r.id, "server", server.ID, "crashed", isCrashed, "parts", r.keys.Parts, "whole", r.keys.Whole, "error", err)
 	if isCrashed {
 		t.mu.Lock()
 		r.crashes++
 		t.mu.Unlock()
-		t.accuse(r.keys, Crash{Server: server, at: brokeAt})
+		t.accuse(r.keys, Crash{Server: server.ID, StartedMS: server.StartedMS, at: brokeAt})
 	}
 }
 
@@ -310,12 +321,12 @@
 	t.Log.Warn("evidence dropped: too many keys", "before", len(all), "after", len(t.keys))
 }
 
-// remember records an answer under a part; the caller holds the lock.
-func (t *Table) remember(part uint64, now time.Duration) {
+// remember records an answer under a key; the caller holds the lock.
+func (t *Table) remember(key uint64, answeredAt time.Duration) {
 	if t.answers == nil {
 		t.answers = make(map[uint64]time.Duration)
 	}
-	if _, known := t.answers[part]; !known && len(t.answers) >= maxAnswers {
+	if _, known := t.answers[key]; !known && len(t.answers) >= maxAnswers {
 		// Any quarter will do: parts in use are soon answered again.
 		for old := range t.answers {
 			if len(t.answers) <= maxAnswers*3/4 {
@@ -324,7 +335,7 @@
 			delete(t.answers, old)
 		}
 	}
-	t.answers[part] = now
+	t.answers[key] = max(t.answers[key], answeredAt)
 }
 
 // logQuarantine logs a key whose quarantine has begun; the caller holds the lock.
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -59,7 +59,7 @@
 func (r *Run) broke(t *testing.T, server string, address netip.AddrPort) {
 	t.Helper()
 	ended := make(chan struct{})
-	r.Broke(t.Context(), server, address, func() { close(ended) })
+	r.Broke(t.Context(), Server{ID: server, Address: address}, func() { close(ended) })
 	<-ended
 }
 
@@ -83,7 +83,7 @@
 	r := table.Enter("r", Keys{Parts: []uint64{1}, Whole: 7}, func() {})
 	for _, server := range []string{"a", "b"} {
 		assert.NilError(t, r.Send(t.Context(), server))
-		r.Broke(t.Context(), server, dead, func() {})
+		r.Broke(t.Context(), Server{ID: server, Address: dead}, func() {})
 	}
 	assert.ErrorIs(t, r.Send(t.Context(), "c"), ErrQuarantined, "crashes at the same time are no evidence, but those under one request follow each other")
 	assert.Equal(t, table.wait(Keys{Parts: []uint64{1}, Whole: 8}), time.Duration(0))
@@ -349,3 +349,102 @@
 		}
 	}
 }
+
+func TestQuarantinedKeysDoNotCrowdOutNewEvidence(t *testing.T) {
+	c := newClock()
+	a, b := c.table("a"), c.table("b")
+	for i := range uint64(2 * MaxReported) {
+		for n := range 3 {
+			a.accuse(Keys{Whole: 100 + i}, Crash{Server: fmt.Sprint("s", n), at: c.now + time.Duration(n)*time.Second})
+		}
+	}
+	c.now += time.Minute
+	deadly := Keys{Parts: []uint64{3}, Whole: 1}
+	a.accuse(deadly, Crash{Server: "s1", at: c.now})
+	exchange(a, b)
+	c.now += time.Second
+	deadly.Whole = 2
+	b.accuse(deadly, Crash{Server: "s2", at: c.now})
+	exchange(a, b)
+	assert.Assert(t, a.wait(deadly) > 0 && b.wait(deadly) > 0)
+	late := c.table("late")
+	for range 100 {
+		exchange(a, late)
+	}
+	assert.Equal(t, late.Quarantined(), a.Quarantined(), "a host that starts learns of all quarantined keys in turn")
+}
+
+func TestReportsThatAHostReadsLateAddNoCrashes(t *testing.T) {
+	c := newClock()
+	keys := Keys{Parts: []uint64{3}, Whole: 9}
+	a, b, suspended := c.table("a"), c.table("b"), c.table("suspended")
+	a.accuse(keys, Crash{Server: "s1", StartedMS: 1_700_000_000_000, at: c.now})
+	var unread [][]Evidence
+	for range 10 {
+		unread = append(unread, a.Report())
+		exchange(a, b)
+		c.now += announceFor / 10
+	}
+	c.now += 5 * time.Second
+	for _, report := range unread {
+		suspended.Merge(report)
+	}
+	assert.Equal(t, suspended.wait(keys), time.Duration(0), "one backend server crashed once")
+	exchange(suspended, a, b)
+	assert.Equal(t, a.wait(keys), time.Duration(0))
+	assert.Equal(t, b.wait(keys), time.Duration(0))
+}
+
+func TestKeysThatAlwaysComeTogetherAreTried(t *testing.T) {
+	c := newClock()
+	table, dead := c.table("a"), deadAddress(t)
+	keys := Keys{Parts: []uint64{3, 4}, Whole: 9}
+	r := table.Enter("r", keys, func() {})
+	for _, server := range []string{"s1", "s2"} {
+		assert.NilError(t, r.Send(t.Context(), server))
+		r.broke(t, server, dead)
+		c.now += time.Second
+	}
+	assert.Assert(t, table.wait(keys) > 0)
+	c.now += 2 * (1 + trialSpread) * trialInterval
+	run(t, table, keys, "s3").Answered()
+	assert.Equal(t, table.wait(keys), time.Duration(0))
+}
+
+func TestQuarantineThatAnAnswerEndedDoesNotReturn(t *testing.T) {
+	c := newClock()
+	keys := Keys{Parts: []uint64{3}, Whole: 9}
+	a, b, cutOff := c.table("a"), c.table("b"), c.table("cut off")
+	inFlight := run(t, a, keys, "s7")
+	quarantine(t, c, a, 3)
+	exchange(a, b, cutOff)
+	c.now += time.Second
+	inFlight.Answered()
+	exchange(a, b)
+	c.now += exoneratedTTL + time.Second
+	exchange(a, b)
+	for range 3 {
+		exchange(a, b, cutOff)
+		c.now += time.Second
+	}
+	for _, h := range []*Table{a, b, cutOff} {
+		assert.Equal(t, h.wait(keys), time.Duration(0), h.Host)
+	}
+}
+
+func BenchmarkAnswersUnderNewParts(b *testing.B) {
+	table := newClock().table("a")
+	part := uint64(0)
+	answer := func() {
+		part++
+		r := table.Enter("r", Keys{Parts: []uint64{part}, Whole: part}, func() {})
+		r.Answered()
+		r.End()
+	}
+	for range 2 * maxAnswers {
+		answer()
+	}
+	for b.Loop() {
+		answer()
+	}
+}
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -27,6 +27,8 @@
 	provenSpacing   = time.Second
 	// MaxCrashes is the number of crashes that are kept of one key.
 	MaxCrashes = 6
+	// maxParts bounds the parts of one request that are keys, so that it can't displace the evidence of others.
+	maxParts = 64
 	// trialInterval is the time after the last crash or trial from which one request with a quarantined key is sent, and
 	// failedInterval that after a trial that crashed its backend server. The hosts' times differ by up to trialSpread intervals, so that few hosts send one
 	// before they know of another's.
@@ -47,10 +49,13 @@
 }
 
 // NewKeys returns the keys of a request whose prompt has the given parts, in order. The last part belongs to the request
-// itself.
+// itself; those after the first maxParts are ignored.
 func NewKeys(parts []string, whole uint64) Keys {
 	k := Keys{Whole: whole}
 	for _, part := range parts[:max(0, len(parts)-1)] {
+		if len(k.Parts) == maxParts {
+			break
+		}
 		if key := xxhash.Sum64String(part); !slices.Contains(k.Parts, key) {
 			k.Parts = append(k.Parts, key)
 		}
@@ -74,6 +79,8 @@
 	_ struct{} `cbor:",toarray"`
 
 	Server string
+	// StartedMS is when the backend server had started, in Unix milliseconds; 0 if unknown.
+	StartedMS int64
 	// AgeMS is the time since the crash, in milliseconds, when it was sent to another host.
 	AgeMS int64
 
@@ -94,12 +101,19 @@
 	changedAt time.Duration
 }
 
+// isSame reports whether two reports concern the same crash. A backend server crashes once between two starts, however late
+// a host reads a report.
+func (c Crash) isSame(o Crash) bool {
+	if c.Server != o.Server {
+		return false
+	}
+	return c.StartedMS != 0 && c.StartedMS == o.StartedMS || (c.at-o.at).Abs() < sameCrash
+}
+
 // add adds a crash unless it is known.
 func (e *evidence) add(c Crash) bool {
-	for _, known := range e.crashes {
-		if known.Server == c.Server && (known.at-c.at).Abs() < sameCrash {
-			return false
-		}
+	if slices.ContainsFunc(e.crashes, c.isSame) {
+		return false
 	}
 	e.crashes = append(e.crashes, c)
 	slices.SortFunc(e.crashes, func(a, b Crash) int { return cmp.Compare(a.at, b.at) })
@@ -121,7 +135,7 @@
 	e.crashes = slices.Delete(e.crashes, closest, closest+1)
 }
 
-// compare orders evidence by how much the other hosts need it: that of quarantined keys first, then by crashes, then the
+// compare orders evidence by how much it is needed: that of quarantined keys first, then by crashes, then the
 // latest changes.
 func compare(a, b *evidence, now time.Duration) int {
 	if q, r := a.isQuarantined(now), b.isQuarantined(now); q != r {
@@ -158,6 +172,9 @@
 	return e.crashes[len(e.crashes)-1].at
 }
 
+// latest returns when the last crash, answer or trial was.
+func (e *evidence) latest() time.Duration { return max(e.lastCrash(), e.answeredAt, e.triedAt) }
+
 // isQuarantined reports whether enough backend servers have crashed under the key since a request with it was last answered.
 func (e *evidence) isQuarantined(now time.Duration) bool {
 	spacing, needed := simultaneous, crashesOfNew
@@ -195,7 +212,8 @@
 	return now-e.changedAt > exoneratedTTL
 }
 
-// merge adds another host's evidence and reports whether it is new.
+// merge adds another host's evidence and reports whether other hosts need the result: it is new, or the other host does not
+// know of the answer that ended the quarantine.
 func (e *evidence) merge(o *evidence) bool {
 	isNew := false
 	for _, c := range o.crashes {
@@ -212,5 +230,5 @@
 	if o.trials > e.trials || o.trials == e.trials && o.triedAt > e.triedAt+ageError {
 		e.trials, e.triedAt, isNew = o.trials, o.triedAt, true
 	}
-	return isNew
+	return isNew || o.hasCrashes() && !e.hasCrashes()
 }
--- a/internal/crash/share.go
+++ b/internal/crash/share.go
@@ -1,6 +1,8 @@
 package crash
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -26,7 +28,8 @@
 	TrialAgeMS  int64
 }
 
-// Report returns the evidence that the other hosts should receive, at most MaxReported keys.
+// Report returns the evidence that the other hosts should receive, at most MaxReported keys. Recent changes come first,
+// the latest before others; the order is random otherwise, so that each key is reported sooner or later.
 func (t *Table) Report() []Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -35,13 +38,22 @@
 	}
 	now := t.now()
 	t.expire(now)
-	var due []*evidence
+	var recent, older []*evidence
 	for _, e := range t.keys {
-		if now-e.changedAt < announceFor || e.isQuarantined(now) {
-			due = append(due, e)
+		switch {
+		case now-e.changedAt < announceFor:
+			recent = append(recent, e)
+		case e.isQuarantined(now):
+			older = append(older, e)
 		}
 	}
-	slices.SortFunc(due, func(a, b *evidence) int { return compare(a, b, now) })
+	shuffle(recent)
+	shuffle(older)
+	// Evidence that has just arrived here may be old news to others.
+	slices.SortStableFunc(recent, func(a, b *evidence) int {
+		return cmp.Compare(b.latest()/time.Second, a.latest()/time.Second)
+	})
+	due := slices.Concat(recent, older)
 	var all []Evidence
 	for _, e := range due[:min(len(due), MaxReported)] {
 		all = append(all, e.encode(now))
@@ -49,6 +61,10 @@
 	return all
 }
 
+func shuffle(all []*evidence) {
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+}
+
 // Version returns a number that grows with each change of the evidence that other hosts should receive at once.
 func (t *Table) Version() uint64 {
 	t.mu.Lock()
@@ -81,6 +97,9 @@
 		wasQuarantined := e.isQuarantined(now)
 		if e.merge(r.decode(now)) {
 			e.changedAt = now
+			if e.hasAnswered() {
+				t.remember(e.key, e.answeredAt)
+			}
 			t.logQuarantine(e, wasQuarantined, now)
 			if wasQuarantined && !e.isQuarantined(now) {
 				t.Log.Info("quarantine ends by another host's evidence", "key", e.key, "crashes", len(e.crashes), "trials", e.trials)
@@ -97,7 +116,7 @@
 func (e *evidence) encode(now time.Duration) Evidence {
 	r := Evidence{Key: e.key, AnswerAgeMS: ageMS(e.answeredAt, now), Trials: e.trials, TrialAgeMS: ageMS(e.triedAt, now)}
 	for _, c := range e.crashes {
-		r.Crashes = append(r.Crashes, Crash{Server: c.Server, AgeMS: ageMS(c.at, now)})
+		r.Crashes = append(r.Crashes, Crash{Server: c.Server, StartedMS: c.StartedMS, AgeMS: ageMS(c.at, now)})
 	}
 	return r
 }
@@ -106,7 +125,7 @@
 	e := &evidence{key: r.Key, trials: max(0, r.Trials), answeredAt: timeOf(r.AnswerAgeMS, now), triedAt: timeOf(r.TrialAgeMS, now)}
 	for _, c := range r.Crashes[:min(len(r.Crashes), MaxCrashes)] {
 		if at := timeOf(c.AgeMS, now); at > 0 {
-			e.crashes = append(e.crashes, Crash{Server: c.Server, at: at})
+			e.crashes = append(e.crashes, Crash{Server: c.Server, StartedMS: c.StartedMS, at: at})
 		}
 	}
 	return e
