fix(crash): a lookup that many callers send needs as much evidence as a part that has been answered

Seen by callers: nothing yet; found in a review. Two ordinary crashes more than 0.2 s apart, each with the same lookup waiting there, refuse that path to a whole workspace for 10 to 60 s, unless another one is in progress.

Cause: requests without a body share one fingerprint for each method, host, path and workspace, but answers were remembered for parts of prompts only, so that such a request always counted as one that had never been answered.

Evidence: TestRequestsThatManyCallersSendAreNotQuarantinedByTwoCrashes, whose first case is refused without the change.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -166,6 +166,9 @@
 	for _, part := range r.keys.Parts {
 		t.remember(part, now)
 	}
+	if r.keys.IsWholeShared {
+		t.remember(r.keys.Whole, now)
+	}
 	for key := range r.keys.all() {
 		e := t.keys[key]
 		if e == nil {
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -89,6 +89,24 @@
 	assert.Equal(t, table.wait(Keys{Parts: []uint64{1}, Whole: 8}), time.Duration(0))
 }
 
+func TestRequestsThatManyCallersSendAreNotQuarantinedByTwoCrashes(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		isShared bool
+	}{{"sent by many callers", true}, {"sent by one caller", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newClock()
+			table, keys := c.table("h"), Keys{Whole: 7, IsWholeShared: tc.isShared}
+			run(t, table, keys, "s").Answered()
+			for _, server := range []string{"a", "b"} {
+				c.now += time.Second
+				table.accuse(keys, Crash{Server: server, at: c.now})
+			}
+			assert.Equal(t, table.wait(keys) == 0, tc.isShared)
+		})
+	}
+}
+
 func TestBrokenConnectionsOfLivingServersDoNotCount(t *testing.T) {
 	c := newClock()
 	table, keys := c.table("h"), Keys{Parts: []uint64{1}, Whole: 7}
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -46,6 +46,8 @@
 type Keys struct {
 	Parts []uint64
 	Whole uint64
+	// IsWholeShared reports whether many callers send the same request, such as one without a body.
+	IsWholeShared bool
 }
 
 // NewKeys returns the keys of a request whose prompt has the given parts, in order. The last part belongs to the request
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -178,6 +178,7 @@
 		return err
 	}
 	q.keys = crash.NewKeys(q.Parts, q.fingerprint())
+	q.keys.IsWholeShared = !q.hasBody
 	if wait, key := q.Guard.Check(q.keys); wait > 0 {
 		return q.quarantined(wait, key)
 	}
