fix(crash,front): names in received evidence are bounded; a refusal always states a time to return

Found in a review, not seen: one name of 8 KiB in another host's evidence would keep each summary that holds it from being sent (TestEvidenceWithLongNamesIsNotPassedOn failed before: two crashes kept), and a request that was aborted was refused without Retry-After if its quarantine had ended meanwhile.

--- a/internal/crash/evidence_test.go
+++ b/internal/crash/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +76,9 @@
 	assert.Assert(t, len(NewKeys(parts, 1).Parts) <= maxParts, "one request can't displace the evidence of others")
 	assert.Assert(t, time.Since(began) < time.Second)
 }
+
+func TestEvidenceWithLongNamesIsNotPassedOn(t *testing.T) {
+	now := 2 * time.Hour
+	r := Evidence{Key: 1, AnswerAgeMS: -1, TrialAgeMS: -1, Crashes: []Crash{{Server: strings.Repeat("s", 8<<10), AgeMS: 10}, {Server: "s1", AgeMS: 20}}}
+	assert.Equal(t, len(r.decode(now).crashes), 1)
+}
--- a/internal/crash/share.go
+++ b/internal/crash/share.go
@@ -13,6 +13,8 @@
 	// announceFor is how long changed evidence is reported; that of quarantined keys is reported all the time, so that hosts
 	// that start or were cut off receive it.
 	announceFor = 2 * time.Second
+	// maxServerBytes bounds the name of a backend server in another host's evidence, so that reports fit a datagram.
+	maxServerBytes = 64
 )
 
 // Evidence is what hosts know of one key, with ages in place of times.
@@ -124,7 +126,7 @@
 func (r Evidence) decode(now time.Duration) *evidence {
 	e := &evidence{key: r.Key, trials: max(0, r.Trials), answeredAt: timeOf(r.AnswerAgeMS, now), triedAt: timeOf(r.TrialAgeMS, now)}
 	for _, c := range r.Crashes[:min(len(r.Crashes), MaxCrashes)] {
-		if at := timeOf(c.AgeMS, now); at > 0 {
+		if at := timeOf(c.AgeMS, now); at > 0 && len(c.Server) <= maxServerBytes {
 			e.crashes = append(e.crashes, Crash{Server: c.Server, StartedMS: c.StartedMS, at: at})
 		}
 	}
--- a/internal/front/fail.go
+++ b/internal/front/fail.go
@@ -35,7 +35,10 @@
 func (q *request) quarantined(wait time.Duration, key uint64) *refuse.Error {
 	q.log.Info("request quarantined", "key", key, "parts", len(q.keys.Parts), "retry_after", wait)
 	e := retryable(refuse.CodeNoBackend, crash.ErrQuarantined.Error())
-	e.RetryAfter = wait
+	// The quarantine may have ended meanwhile.
+	if wait > 0 {
+		e.RetryAfter = wait
+	}
 	return e
 }
 
