fix(crash): a crash that is not kept is not announced again

A host that had dropped one took it for new with each report of a host that had kept it, and announced the key again among the latest changes, ahead of evidence that is new.

TestMergingEvidenceIsIdempotent checks it and fails without the change. Also: Table.evidence is evidenceOf, so that it does not bear the name of its type.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -258,7 +258,7 @@
 	t.mu.Lock()
 	now := t.now()
 	for key := range keys.all() {
-		e := t.evidence(key, now)
+		e := t.evidenceOf(key, now)
 		wasQuarantined := e.isQuarantined(now)
 		if e.add(c) {
 			e.changedAt = now
@@ -285,8 +285,8 @@
 	return all
 }
 
-// evidence returns the evidence of a key, which it adds. The caller holds the lock.
-func (t *Table) evidence(key uint64, now time.Duration) *evidence {
+// evidenceOf returns the evidence of a key, which it adds. The caller holds the lock.
+func (t *Table) evidenceOf(key uint64, now time.Duration) *evidence {
 	if e := t.keys[key]; e != nil {
 		return e
 	}
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -30,8 +30,8 @@
 	// maxParts bounds the parts of one request that are keys, so that it can't displace the evidence of others.
 	maxParts = 64
 	// trialInterval is the time after the last crash or trial from which one request with a quarantined key is sent, and
-	// failedInterval that after a trial that crashed its backend server. The hosts' times differ by up to trialSpread intervals, so that few hosts send one
-	// before they know of another's.
+	// failedInterval that after a trial that crashed its backend server. The hosts' times differ by up to trialSpread
+	// intervals, so that few hosts send one before they know of another's.
 	trialInterval  = 10 * time.Second
 	failedInterval = 4 * time.Minute
 	trialSpread    = 5
@@ -112,7 +112,7 @@
 	return c.StartedMS != 0 && c.StartedMS == o.StartedMS || (c.at-o.at).Abs() < sameCrash
 }
 
-// add adds a crash unless it is known.
+// add adds a crash and reports whether it was not known and is kept.
 func (e *evidence) add(c Crash) bool {
 	if slices.ContainsFunc(e.crashes, c.isSame) {
 		return false
@@ -122,7 +122,7 @@
 	if len(e.crashes) > MaxCrashes {
 		e.dropCrash()
 	}
-	return true
+	return slices.ContainsFunc(e.crashes, c.isSame)
 }
 
 // dropCrash drops the crash that is closest to the one before it, so that those that remain are as far apart as possible.
--- a/internal/crash/evidence_test.go
+++ b/internal/crash/evidence_test.go
@@ -60,6 +60,8 @@
 		e.add(Crash{Server: fmt.Sprint("s", i), at: now - time.Duration(10-i)*time.Second/2})
 	}
 	assert.Equal(t, len(e.crashes), MaxCrashes)
+	dropped := Crash{Server: "dropped", at: e.crashes[2].at + time.Millisecond}
+	assert.Assert(t, !e.add(dropped), "a crash that is not kept is not new, or hosts would announce it to each other for ever")
 	o := &evidence{key: 1}
 	assert.Assert(t, o.merge(e.encode(now).decode(now)))
 	assert.Assert(t, !o.merge(e.encode(now).decode(now+20*time.Millisecond)), "the same evidence is not new again")
--- a/internal/crash/share.go
+++ b/internal/crash/share.go
@@ -95,7 +95,7 @@
 	t.mu.Lock()
 	now := t.now()
 	for _, r := range reported {
-		e := t.evidence(r.Key, now)
+		e := t.evidenceOf(r.Key, now)
 		wasQuarantined := e.isQuarantined(now)
 		if e.merge(r.decode(now)) {
 			e.changedAt = now
