--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -27,8 +27,8 @@
 	deadlyDowntime = 1500 * time.Millisecond
 )
 
-// outbreak crashes each engine that begins to answer a request whose prompt holds the deadly part.
-type outbreak struct {
+// crasher crashes each engine that begins to answer a request whose prompt holds the deadly part.
+type crasher struct {
 	town *town.Platform
 
 	mu       sync.Mutex
@@ -38,7 +38,7 @@
 }
 
 // script returns the script of an engine that others reach through a proxy.
-func (o *outbreak) script(ctx context.Context, e *plat.Server, p *proxy) plat.Script {
+func (c *crasher) script(ctx context.Context, e *plat.Server, p *proxy) plat.Script {
 	return func(conn net.Conn, r *plat.Request) bool {
 		if !town.IsDeadly(r.Header) || e.IsMisdirected(r) {
 			return false
@@ -46,57 +46,57 @@
 		e.MarkRun(r)
 		time.Sleep(deadlyPrefill)
 		plat.WriteStreamHeader(conn, r)
-		o.crash(ctx, e, p)
+		c.crash(ctx, e, p)
 		return true
 	}
 }
 
 // crash takes an engine down until it restarts under another ID, unless it is down already.
-func (o *outbreak) crash(ctx context.Context, e *plat.Server, p *proxy) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.isDown == nil {
-		o.isDown = make(map[*plat.Server]bool)
+func (c *crasher) crash(ctx context.Context, e *plat.Server, p *proxy) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isDown == nil {
+		c.isDown = make(map[*plat.Server]bool)
 	}
-	if o.isDown[e] {
+	if c.isDown[e] {
 		return
 	}
-	o.isDown[e] = true
-	o.crashes = append(o.crashes, time.Now())
+	c.isDown[e] = true
+	c.crashes = append(c.crashes, time.Now())
 	p.stopListening()
 	e.Crash()
-	o.restarts.Add(1)
+	c.restarts.Add(1)
 	go func() {
-		defer o.restarts.Done()
+		defer c.restarts.Done()
 		if ticks.Sleep(ctx, deadlyDowntime) {
-			o.restart(ctx, e, p)
+			c.restart(ctx, e, p)
 		}
 	}()
 }
 
-func (o *outbreak) restart(ctx context.Context, e *plat.Server, p *proxy) {
-	o.town.Unregister(e)
+func (c *crasher) restart(ctx context.Context, e *plat.Server, p *proxy) {
+	c.town.Unregister(e)
 	e.Rename()
 	e.Restart()
 	if err := p.listen(ctx); err != nil {
 		panic(err)
 	}
-	o.town.Register(e, false)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.isDown[e] = false
+	c.town.Register(e, false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isDown[e] = false
 }
 
-func (o *outbreak) crashTimes() []time.Time {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return slices.Clone(o.crashes)
+func (c *crasher) crashTimes() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.crashes)
 }
 
 // checkDeadlyPart returns a description of each violation around requests with a deadly part: after crashesToStop crashes
 // hosts in touch send no more of them, and sound requests of the same caller and first part are still served.
 func (s *Soak) checkDeadlyPart() []string {
-	crashes := s.outbreak.crashTimes()
+	crashes := s.crasher.crashTimes()
 	if len(crashes) == 0 {
 		return []string{"no engine crashed on the deadly part"}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -51,7 +51,7 @@
 	storeProxies  []*proxy
 	serverProxies []*proxy
 	recorder      recorder
-	outbreak      outbreak
+	crasher       crasher
 	disturbances  disturbances
 }
 
@@ -83,12 +83,12 @@
 	s.recorder.startRecovery()
 	<-runCtx.Done()
 	callers.Wait()
-	s.outbreak.restarts.Wait()
+	s.crasher.restarts.Wait()
 	return s.checkGuarantees()
 }
 
 func (s *Soak) start(ctx context.Context) error {
-	s.outbreak.town = s.town
+	s.crasher.town = s.town
 	for _, e := range s.town.Servers {
 		p, err := newProxy(ctx, e.Address())
 		if err != nil {
@@ -96,7 +96,7 @@
 		}
 		s.serverProxies = append(s.serverProxies, p)
 		e.Public = p.address
-		e.Script = s.outbreak.script(ctx, e, p)
+		e.Script = s.crasher.script(ctx, e, p)
 		s.town.Register(e, false)
 	}
 	for i := range s.Hosts {
