test(front): answers without end are bounded by bytes, with no time limit near

Cause: the test. Its route has a time limit of 600 ms; beside load, reading up to the bound of 8 MiB takes longer, and the request ends at its limit with 504, or without an answer once its time to write has passed too.

The routes of the test have a limit of one minute now, so that only the bounds on bytes can end an answer, which is stricter: an answer that is cut by time no longer passes for one that is bounded.

--- a/internal/front/endless_test.go
+++ b/internal/front/endless_test.go
@@ -6,13 +6,15 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 )
 
-// TestAnswersWithoutEnd brings about servers in trouble that send bytes until the caller closes.
+// TestAnswersWithoutEnd brings about servers in trouble that send bytes until the caller closes. Time limits are far away, so
+// that only the bounds on bytes can end an answer.
 func TestAnswersWithoutEnd(t *testing.T) {
 	for _, tc := range []struct{ name, path, head, filler string }{
 		{"plain, head", "/book/x", "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\n", "A: 1\r\n"},
@@ -22,6 +24,10 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRig(t, 2)
+			next := table()
+			next.Version = 2
+			next.Match("h.example", tc.path).Timeout = time.Minute
+			r.Tables.PutIfNewer(next)
 			closed := make(chan error, len(r.engines))
 			for _, e := range r.engines {
 				e.Script = func(conn net.Conn, _ *plat.Request) bool {
@@ -33,7 +39,7 @@
 					return true
 				}
 			}
-			got := r.do(t, callerRequest{method: http.MethodPost, path: tc.path, key: "k1", headers: map[string]string{"Token-Usage": "80,16"}})
+			got := r.do(t, callerRequest{method: http.MethodPost, path: tc.path, key: "k1", headers: map[string]string{"Token-Usage": "80,16", "Deadline-Ms": "60000"}})
 			assert.Equal(t, got.status, http.StatusBadGateway, "it may have run, and is not run again")
 			assert.Assert(t, <-closed != nil, "the connection is closed")
 			assert.Equal(t, len(r.received()), 1)
