--- a/internal/fakes/plat/store.go
+++ b/internal/fakes/plat/store.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -53,6 +54,13 @@
 	Spec     json.RawMessage `json:"spec"`
 }
 
+// append appends the object's JSON. The spec is copied as it is: package json refuses one that is nested too deeply.
+func (o object) append(text []byte) []byte {
+	name, _ := json.Marshal(o.Metadata.Name)
+	text = fmt.Appendf(text, `{"metadata":{"name":%s,"revision":%d},"spec":`, name, o.Metadata.Revision)
+	return append(append(text, o.Spec...), '}')
+}
+
 type metadata struct {
 	Name     string `json:"name"`
 	Revision int64  `json:"revision"`
@@ -61,8 +69,8 @@
 type event struct {
 	kind     string
 	revision int64
-	Object   object `json:"object"`
-	Deleted  bool   `json:"deleted"`
+	object   object
+	deleted  bool
 }
 
 const objectsPath = "/tarragonspur/objects/"
@@ -115,9 +123,14 @@
 	if err != nil {
 		panic(err)
 	}
+	s.PutText(kind, name, text)
+}
+
+// PutText writes an object whose spec is the given JSON, valid or not.
+func (s *Store) PutText(kind, name string, spec []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(kind, name, text)
+	s.put(kind, name, spec)
 }
 
 func (s *Store) put(kind, name string, spec json.RawMessage) object {
@@ -127,7 +140,7 @@
 		s.objects[kind] = make(map[string]object)
 	}
 	s.objects[kind][name] = o
-	s.history = append(s.history, event{kind: kind, revision: s.revision, Object: o})
+	s.history = append(s.history, event{kind: kind, revision: s.revision, object: o})
 	s.notifyWatchers()
 	return o
 }
@@ -142,7 +155,7 @@
 	}
 	s.revision++
 	delete(s.objects[kind], name)
-	s.history = append(s.history, event{kind: kind, revision: s.revision, Object: o, Deleted: true})
+	s.history = append(s.history, event{kind: kind, revision: s.revision, object: o, deleted: true})
 	s.notifyWatchers()
 }
 
@@ -204,14 +217,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if existing, ok := s.objects[kind][o.Metadata.Name]; ok {
-		writeJSON(w, http.StatusConflict, existing)
+		writeJSON(w, http.StatusConflict, existing.append(nil))
 		return
 	}
 	created := s.put(kind, o.Metadata.Name, o.Spec)
 	if loseResponse {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, http.StatusOK, created)
+	writeJSON(w, http.StatusOK, created.append(nil))
 }
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
@@ -229,7 +242,14 @@
 	if more {
 		items = items[:s.pageSize]
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "at": s.revision})
+	text := []byte(`{"items":[`)
+	for i, o := range items {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = o.append(text)
+	}
+	writeJSON(w, http.StatusOK, fmt.Appendf(text, `],"hasMore":%t,"at":%d}`, more, s.revision))
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -249,7 +269,14 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 || ctx.Err() != nil:
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "at": revision})
+			text := []byte(`{"events":[`)
+			for i, e := range events {
+				if i > 0 {
+					text = append(text, ',')
+				}
+				text = fmt.Appendf(e.object.append(append(text, `{"object":`...)), `,"deleted":%t}`, e.deleted)
+			}
+			writeJSON(w, http.StatusOK, fmt.Appendf(text, `],"at":%d}`, revision))
 			return
 		}
 		select {
@@ -269,9 +296,9 @@
 	return events
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+func writeJSON(w http.ResponseWriter, status int, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// A caller that has disconnected needs no response.
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(body)
 }
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -151,3 +151,22 @@
 	_, kept := c.sent["s2"]
 	assert.Assert(t, !kept)
 }
+
+// TestFullEvidenceFitsTheDigestsOfGrownDeployments checks that hosts of a deployment whose digests go to all others are heard
+// by all even if nothing is cut from their digests: 63 backend servers, of two services, are as many as such a deployment has.
+func TestFullEvidenceFitsTheDigestsOfGrownDeployments(t *testing.T) {
+	d := Digest{
+		Host: "edge-tame-kilnhouse-14", Incarnation: 1 << 41, Sequence: 1 << 40, Region: "midlands-west", Domain: "tame-kilnhouse", Cores: 0.192,
+		Crashes: fullReport(),
+	}
+	for i := range 63 {
+		d.Loads = append(d.Loads, ServerLoad{Server: fmt.Sprintf("i-%010x", i), Runs: 20, Tokens: 300000, Pending: 90000})
+	}
+	for i := range 2 {
+		d.Services = append(d.Services, ServiceCounts{Service: fmt.Sprint("service-", i), Arrivals: 1 << 16, Repeats: 1 << 16, Waiting: 1 << 16, ArrivalRate: 1.5, StartRate: 1.5})
+	}
+	payload, err := cbor.Marshal(message{Digest: &d})
+	assert.NilError(t, err)
+	assert.Assert(t, len(payload) <= maxDatagram, "%d bytes", len(payload))
+	t.Logf("%d bytes", len(payload))
+}
--- /dev/null
+++ b/internal/site/intime_test.go
@@ -0,0 +1,300 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+	"github.com/tarragonspur/tarragonspur/internal/gossip"
+	"github.com/tarragonspur/tarragonspur/internal/mirror"
+	"github.com/tarragonspur/tarragonspur/internal/policy"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/watch"
+	"github.com/tarragonspur/tarragonspur/pkg/config"
+	"github.com/tarragonspur/tarragonspur/platform"
+)
+
+// gossipDelay is how late other hosts learn that a host no longer reads the store.
+const gossipDelay = 150 * time.Millisecond
+
+// tableRig is a store and two hosts that follow its table: one that reads for the other, and the other.
+type tableRig struct {
+	store *plat.Store
+	// toStore is the reader's way to the store, toReader the other host's way to the reader.
+	toStore, toReader *link
+	settings          config.Settings
+	hosts             int
+	reader            *mirror.Mirror
+	// hasReader is whether the other host knows the reader.
+	hasReader bool
+	version   int
+}
+
+// link forwards connections on loopback and can hold or slow them.
+type link struct {
+	address netip.AddrPort
+	// generation counts the calls of hold; connections of earlier ones forward nothing.
+	generation atomic.Int64
+	// isCut holds new connections too, isTrickling forwards a byte at a time.
+	isCut, isTrickling atomic.Bool
+}
+
+// hold makes all open connections fall silent while new ones work.
+func (l *link) hold() { l.generation.Add(1) }
+
+func newLink(t *testing.T, to netip.AddrPort) *link {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &link{address: netip.MustParseAddrPort(listener.Addr().String())}
+	var running sync.WaitGroup
+	running.Add(1)
+	go func() {
+		defer running.Done()
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			running.Add(1)
+			go func() {
+				defer running.Done()
+				l.forward(t.Context(), near, to)
+			}()
+		}
+	}()
+	t.Cleanup(func() { _ = listener.Close(); running.Wait() })
+	return l
+}
+
+func (l *link) forward(ctx context.Context, near net.Conn, to netip.AddrPort) {
+	generation := l.generation.Load()
+	defer func() { _ = near.Close() }()
+	far, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
+	if err != nil {
+		return
+	}
+	defer func() { _ = far.Close() }()
+	ended := make(chan struct{}, 2)
+	one := func(to, from net.Conn, isAnswer bool) {
+		defer func() { ended <- struct{}{} }()
+		buf := make([]byte, 4<<10)
+		for {
+			n, err := from.Read(buf)
+			if err != nil {
+				return
+			}
+			for l.isCut.Load() || l.generation.Load() != generation {
+				time.Sleep(time.Millisecond)
+				if ctx.Err() != nil {
+					return
+				}
+			}
+			for part := range bytes.Lines(buf[:n]) {
+				if !isAnswer || !l.isTrickling.Load() {
+					_, err = to.Write(part)
+				}
+				for i := 0; isAnswer && l.isTrickling.Load() && i < len(part) && ctx.Err() == nil; i++ {
+					_, err = to.Write(part[i : i+1])
+					time.Sleep(100 * time.Millisecond)
+				}
+				if err != nil {
+					return
+				}
+			}
+		}
+	}
+	go one(far, near, false)
+	go one(near, far, true)
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// rigReaders are the readers as one host of a large deployment sees them.
+type rigReaders struct {
+	hosts       int
+	isPreferred bool
+	reader      func() (mirror.Host, bool)
+}
+
+func (r rigReaders) Reader() (mirror.Host, bool) {
+	if r.reader == nil {
+		return mirror.Host{}, false
+	}
+	return r.reader()
+}
+func (r rigReaders) IsPreferredReader() bool { return r.isPreferred }
+func (rigReaders) MayRead() bool             { return true }
+func (r rigReaders) Hosts() int              { return r.hosts }
+func (rigReaders) LostReader(string)         {}
+
+// follow runs a host's followers and returns its table.
+func (r *tableRig) follow(t *testing.T, m *mirror.Mirror, readers rigReaders, health *watch.Health) *policy.Holder {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	g := gossip.New()
+	g.Region, g.Log = r.settings.Region, log
+	g.IsReading = func() bool { return m.IsReading(platform.KindTables) && !health.IsUnreachable() }
+	holder, p := &policy.Holder{}, &pool.Pool{}
+	ctx, cancel := context.WithCancel(context.Background())
+	tables := newTables(r.settings, m, holder, health, g, log)
+	servers := newServers(r.settings, m, p, health, &watch.SyncStatus{}, g, log)
+	domains := newEvacuations(m, p, health, g, log)
+	tables.HasReader = func() bool { _, ok := readers.Reader(); return ok }
+	servers.HasReader, domains.HasReader = tables.HasReader, tables.HasReader
+	loops := []func(context.Context) error{tables.Run, servers.Run, domains.Run}
+	ended := make(chan error, len(loops))
+	for _, run := range loops {
+		go func() { ended <- run(ctx) }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range loops {
+			assert.NilError(t, <-ended)
+		}
+		m.Link.Close()
+	})
+	return holder
+}
+
+// put writes the next version of the table and returns it; padding is the size of a name in it.
+func (r *tableRig) put(padding int) int64 {
+	r.version++
+	r.store.Put("config", "main", map[string]any{
+		"version": r.version, "routes": []any{}, "services": []any{map[string]any{"name": strings.Repeat("x", padding)}},
+	})
+	return int64(r.version)
+}
+
+// start starts both hosts and returns the table of the one that does not read the store.
+func (r *tableRig) start(t *testing.T) *policy.Holder {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	r.store = plat.NewStore()
+	t.Cleanup(r.store.Close)
+	r.put(0)
+	for i := range 8 {
+		r.store.PutText("servers", fmt.Sprint("s", i), fmt.Appendf(nil, `{"service":"model","address":"10.0.0.%d:80","zone":"d1","slots":8,"state":"healthy"}`, i))
+	}
+	r.settings.Platform.Regions = map[string]string{"d1": "east"}
+	r.toStore = newLink(t, r.store.Address())
+
+	readers := rigReaders{hosts: r.hosts, isPreferred: true}
+	health := &watch.Health{Log: log}
+	r.reader = newTestMirror(r.settings, platform.NewStore(r.toStore.address, log), readers, log)
+	r.follow(t, r.reader, readers, health)
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := netip.MustParseAddrPort(l.Addr().String())
+	assert.NilError(t, l.Close())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- (&mirror.Server{Mirror: r.reader, Address: address}).Run(ctx) }()
+	t.Cleanup(func() { cancel(); assert.NilError(t, <-ended) })
+	r.toReader = newLink(t, address)
+
+	var isReading atomic.Bool
+	go func() {
+		for ctx.Err() == nil {
+			reads := r.reader.IsReading(platform.KindTables) && !health.IsUnreachable()
+			time.Sleep(gossipDelay)
+			isReading.Store(reads)
+		}
+	}()
+	others := rigReaders{hosts: r.hosts, reader: func() (mirror.Host, bool) {
+		return mirror.Host{Name: "reader", Address: r.toReader.address}, r.hasReader && isReading.Load()
+	}}
+	m := newTestMirror(r.settings, platform.NewStore(r.store.Address(), log), others, log)
+	holder := r.follow(t, m, others, &watch.Health{Log: log})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if table, _ := holder.View(); table == nil || r.hasReader && !isReading.Load() {
+			return poll.Continue("the first table")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+	time.Sleep(time.Second)
+	return holder
+}
+
+// newTestMirror returns a host's mirror.
+func newTestMirror(_ config.Settings, store mirror.Store, readers mirror.Readers, log *slog.Logger) *mirror.Mirror {
+	return &mirror.Mirror{Store: store, Readers: readers, Link: &mirror.Link{}, Log: log}
+}
+
+// nested is an entry that package json refuses to read.
+func nested() []byte { return []byte(strings.Repeat("[", 20000) + strings.Repeat("]", 20000)) }
+
+// TestConfirmedTableIsInForceInTime is the regression test for the incident CONFIG.
+func TestConfirmedTableIsInForceInTime(t *testing.T) {
+	const small, grown = 2500 * time.Millisecond, 4 * time.Second
+	for _, tc := range []struct {
+		name      string
+		hosts     int
+		hasReader bool
+		// bound is the time from a change's confirmation until every host uses it.
+		bound   time.Duration
+		trouble func(r *tableRig)
+	}{
+		{"nothing fails", 83, true, grown, func(*tableRig) {}},
+		{"an entry of a server can't be read, no reader", 83, false, grown, func(r *tableRig) {
+			r.store.PutText("servers", "odd", nested())
+		}},
+		{"an entry of a server can't be read", 83, true, grown, func(r *tableRig) {
+			r.store.PutText("servers", "odd", nested())
+		}},
+		{"a call to the store fails once, no reader", 83, false, grown, func(r *tableRig) { r.store.CloseClientConnections() }},
+		{"the reader loses the store", 7, true, small, func(r *tableRig) { r.toStore.isCut.Store(true) }},
+		{"the reader's calls to the store fall silent", 7, true, small, func(r *tableRig) { r.toStore.hold() }},
+		{"the reader falls silent", 7, true, small, func(r *tableRig) { r.toReader.isCut.Store(true) }},
+		{"the reader's connections fall silent", 7, true, small, func(r *tableRig) { r.toReader.hold() }},
+		{"the reader trickles", 83, true, grown, func(r *tableRig) { r.toReader.isTrickling.Store(true) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			r := &tableRig{hosts: tc.hosts, hasReader: tc.hasReader}
+			r.settings = config.Settings{Region: "east", Platform: &config.Platform{KeyAge: config.Duration(5 * time.Second)}}
+			holder := r.start(t)
+			// A reader that has just read a change counts as reading for longest.
+			r.put(0)
+			time.Sleep(50 * time.Millisecond)
+			tc.trouble(r)
+			r.checkChanges(t, holder, tc.bound)
+		})
+	}
+}
+
+// checkChanges changes the table for some seconds and checks that each version is in force within the bound.
+func (r *tableRig) checkChanges(t *testing.T, holder *policy.Holder, bound time.Duration) {
+	t.Helper()
+	const interval, changes = 400 * time.Millisecond, 15
+	var confirmed []time.Time
+	first := int64(r.version + 1)
+	longest := time.Duration(0)
+	for inForce := 0; inForce < changes; time.Sleep(2 * time.Millisecond) {
+		if len(confirmed) == 0 || len(confirmed) < changes && time.Since(confirmed[len(confirmed)-1]) > interval {
+			r.put(0)
+			confirmed = append(confirmed, time.Now())
+		}
+		table, _ := holder.View()
+		for ; int64(inForce) <= table.Version-first; inForce++ {
+			longest = max(longest, time.Since(confirmed[inForce]))
+		}
+		assert.Assert(t, inForce == len(confirmed) || time.Since(confirmed[inForce]) < bound, "change %d of %d is not in force after %s", inForce+1, changes, bound)
+	}
+	t.Logf("in force after %s at most", longest)
+}
