--- a/internal/mirror/link.go
+++ b/internal/mirror/link.go
@@ -56,6 +56,9 @@
 	if status.Code(err) == codes.Aborted {
 		return Batch{}, ErrLoading
 	}
+	if status.Code(err) == codes.FailedPrecondition {
+		return Batch{}, errors.Wrapf(ErrNotReading, "host %s", from.Name)
+	}
 	if err != nil {
 		// An error that the host returns, which has the code Unknown, is none of the connection.
 		if status.Code(err) != codes.Unknown {
@@ -142,6 +145,9 @@
 	if errors.Is(err, ErrLoading) {
 		return nil, status.Error(codes.Aborted, err.Error())
 	}
+	if errors.Is(err, ErrNotReading) {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -20,6 +20,8 @@
 	ErrHistoryGone = errors.New("the history since this revision is gone")
 	// ErrNotReading means that a host does not read the store itself or has not reached it recently.
 	ErrNotReading = errors.New("host does not read the store")
+	// ErrUnreadable means that the store answered with something that can't be read, as another writer may leave it.
+	ErrUnreadable = errors.New("answer of the store can't be read")
 	// ErrLoading is an ErrNotReading of a host that is about to have its first list.
 	ErrLoading = errors.Wrap(ErrNotReading, "first list is being read")
 )
@@ -81,12 +83,14 @@
 	Store   Store
 	Readers Readers
 	Link    *Link
-	Log     *slog.Logger
+	// ReaderKind is the kind that decides whether a host counts as reading the store.
+	ReaderKind string
+	Log        *slog.Logger
 
 	mu    sync.Mutex
 	kinds map[string]*cache
-	// avoidUntil is, by host, the time until which a host that failed is not asked again.
-	avoidUntil map[string]time.Time
+	// avoided is, by host, or by host and kind, the time until which it is not asked again after a failure.
+	avoided map[avoidance]time.Time
 	// lastFailure is when a call of any kind to the store last failed; zero if one has succeeded since.
 	lastFailure time.Time
 	// lostAt is when a read from the reading host first failed or found none, zero after one that succeeded. This host calls
@@ -95,6 +99,9 @@
 	directAt time.Time
 }
 
+// avoidance is a host that is not asked for a kind, or for any if the kind is empty.
+type avoidance struct{ host, kind string }
+
 const (
 	// avoidDuration is how long a host that failed to answer is not asked again.
 	avoidDuration = 500 * time.Millisecond
@@ -157,11 +164,12 @@
 	return now.Before(m.directAt)
 }
 
-// recordOutcome records whether a call to the store failed.
+// recordOutcome records whether a call to the store failed. An answer that can't be read is none of a failing store: other kinds
+// may be well.
 func (m *Mirror) recordOutcome(err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err == nil || errors.Is(err, ErrHistoryGone) {
+	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrUnreadable) {
 		m.lastFailure = time.Time{}
 	} else {
 		m.lastFailure = time.Now()
@@ -200,7 +208,7 @@
 // ErrLoading that it will have the documents soon.
 func (m *Mirror) readFromPeer(ctx context.Context, kind string, since int64, wait time.Duration) (Batch, error) {
 	reader, ok := m.Readers.Reader()
-	if !ok || m.isAvoided(reader.Name) {
+	if !ok || m.isAvoided(reader.Name, kind) {
 		return Batch{}, ErrNotReading
 	}
 	b, err := m.Link.Read(ctx, reader, kind, since, wait)
@@ -213,21 +221,32 @@
 		m.mu.Unlock()
 		return b, err
 	}
-	m.mu.Lock()
-	if m.avoidUntil == nil {
-		m.avoidUntil = make(map[string]time.Time)
-	}
-	m.avoidUntil[reader.Name] = time.Now().Add(avoidDuration)
-	m.mu.Unlock()
-	m.Readers.LostReader(reader.Name)
+	m.avoid(reader.Name, kind, err)
 	m.Log.Info("reading host lost", "host", reader.Name, "kind", kind, "error", err)
 	return Batch{}, ErrNotReading
 }
 
-func (m *Mirror) isAvoided(host string) bool {
+// avoid records that a host failed to answer, or that it does not read a kind. Only the kind that makes a host a reader keeps it
+// from being asked for the others too.
+func (m *Mirror) avoid(host, kind string, cause error) {
+	a := avoidance{host: host}
+	if errors.Is(cause, ErrNotReading) && kind != m.ReaderKind {
+		a.kind = kind
+	}
+	m.Readers.LostReader(host)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.avoided == nil {
+		m.avoided = make(map[avoidance]time.Time)
+	}
+	m.avoided[a] = time.Now().Add(avoidDuration)
+}
+
+func (m *Mirror) isAvoided(host, kind string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Now().Before(m.avoidUntil[host])
+	now := time.Now()
+	return now.Before(m.avoided[avoidance{host: host}]) || now.Before(m.avoided[avoidance{host, kind}])
 }
 
 // IsReading reports whether this host can read for others: the store itself has confirmed its documents recently.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -261,3 +261,14 @@
 		})
 	}
 }
+
+// TestUnreadableKindDoesNotDelayAnother is a regression test for the incident CONFIG.
+func TestUnreadableKindDoesNotDelayAnother(t *testing.T) {
+	store := &fakeStore{err: errors.Wrap(ErrUnreadable, "servers")}
+	m := newMirror(store, &fakeReaders{isFollower: true})
+	_, err := m.List(t.Context(), "servers")
+	assert.ErrorIs(t, err, ErrUnreadable)
+	store.err = nil
+	_, err = m.List(t.Context(), "tables")
+	assert.NilError(t, err)
+}
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -96,7 +96,7 @@
 }
 
 func newMirror(st *platform.Store, g *gossip.Gossip, health *watch.Health, log *slog.Logger) *mirror.Mirror {
-	m := &mirror.Mirror{Store: st, Readers: g, Link: &mirror.Link{}, Log: log}
+	m := &mirror.Mirror{Store: st, Readers: g, Link: &mirror.Link{}, ReaderKind: platform.KindTables, Log: log}
 	g.IsReading = func() bool { return m.IsReading(platform.KindTables) && !health.IsUnreachable() }
 	return m
 }
--- a/internal/site/intime_test.go
+++ b/internal/site/intime_test.go
@@ -233,7 +233,7 @@
 
 // newTestMirror returns a host's mirror.
 func newTestMirror(_ config.Settings, store mirror.Store, readers mirror.Readers, log *slog.Logger) *mirror.Mirror {
-	return &mirror.Mirror{Store: store, Readers: readers, Link: &mirror.Link{}, Log: log}
+	return &mirror.Mirror{Store: store, Readers: readers, Link: &mirror.Link{}, ReaderKind: platform.KindTables, Log: log}
 }
 
 // nested is an entry that package json refuses to read.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -88,7 +88,7 @@
 		next, changed, err := f.step(ctx, revision)
 		f.SyncStatus.record(err == nil)
 		if !errors.Is(err, mirror.ErrNotReading) {
-			f.Health.Record(err == nil || errors.Is(err, mirror.ErrHistoryGone))
+			f.Health.Record(err == nil || errors.Is(err, mirror.ErrHistoryGone) || errors.Is(err, mirror.ErrUnreadable))
 		}
 		pause := time.Duration(0)
 		switch {
