--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -91,8 +91,10 @@
 	kinds map[string]*cache
 	// avoided is, by host, or by host and kind, the time until which it is not asked again after a failure.
 	avoided map[avoidance]time.Time
-	// lastFailure is when a call of any kind to the store last failed; zero if one has succeeded since.
-	lastFailure time.Time
+	// firstFailure and lastFailure are when calls of any kind to the store first and last failed since one succeeded; zero if
+	// none has.
+	firstFailure time.Time
+	lastFailure  time.Time
 	// lostAt is when a read from the reading host first failed or found none, zero after one that succeeded. This host calls
 	// the store itself from directAt on.
 	lostAt   time.Time
@@ -105,6 +107,8 @@
 const (
 	// avoidDuration is how long a host that failed to answer is not asked again.
 	avoidDuration = 500 * time.Millisecond
+	// brokenDuration is the time in which failures count as one broken connection, and the pause after them.
+	brokenDuration = 300 * time.Millisecond
 	// maxCallingHostsPerSecond bounds how many hosts call a failing store in one second.
 	maxCallingHostsPerSecond = 15
 	// maxPause bounds the backoff of one host from a failing store.
@@ -139,7 +143,8 @@
 	return b, err
 }
 
-// isBackingOff reports whether this host must not call a failing store yet. The preferred reader never backs off.
+// isBackingOff reports whether this host must not call a failing store yet. The preferred reader never backs off. Failures within
+// a moment of the first one may be a connection that broke, so that the next call follows soon.
 func (m *Mirror) isBackingOff() bool {
 	if m.Readers.IsPreferredReader() {
 		return false
@@ -147,6 +152,9 @@
 	pause := min(maxPause, time.Duration(m.Readers.Hosts())*time.Second/maxCallingHostsPerSecond)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.lastFailure.Sub(m.firstFailure) < brokenDuration {
+		pause = min(pause, brokenDuration)
+	}
 	return time.Since(m.lastFailure) < pause
 }
 
@@ -170,9 +178,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrUnreadable) {
-		m.lastFailure = time.Time{}
-	} else {
-		m.lastFailure = time.Now()
+		m.firstFailure, m.lastFailure = time.Time{}, time.Time{}
+		return
+	}
+	m.lastFailure = time.Now()
+	if m.firstFailure.IsZero() {
+		m.firstFailure = m.lastFailure
 	}
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -272,3 +272,22 @@
 	_, err = m.List(t.Context(), "tables")
 	assert.NilError(t, err)
 }
+
+// TestBrokenConnectionsAreNoOutage is a regression test for the incident CONFIG: the calls of all kinds fail together when
+// connections break, and the next ones follow soon.
+func TestBrokenConnectionsAreNoOutage(t *testing.T) {
+	store := &fakeStore{err: errors.New("reset")}
+	m := newMirror(store, &fakeReaders{isFollower: true})
+	began := time.Now()
+	for range 3 {
+		m.recordOutcome(store.err)
+	}
+	store.err = nil
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := m.List(t.Context(), "tables"); err != nil {
+			return poll.Continue("the host to call the store: %s", err)
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+	assert.Assert(t, time.Since(began) < 2*brokenDuration)
+}
