--- a/internal/fakes/town/town.go
+++ b/internal/fakes/town/town.go
@@ -155,7 +155,7 @@
 	s := config.Default()
 	s.Host, s.Domain, s.Region, s.Store = fmt.Sprint("h", index), domain, region, store
 	s.Platform = &config.Platform{
-		Regions: map[string]string{domain: region}, KeyAge: config.Duration(2 * time.Second),
+		Regions: map[string]string{domain: region}, KeyAge: config.Duration(2 * time.Second), TableApply: config.Duration(2500 * time.Millisecond),
 		RetryRatio: 0.2, RetryExtra: 50, RetryWindow: config.Duration(10 * time.Second),
 		Grace: config.Duration(5 * time.Second), Cores: 1, MemoryMB: 512,
 	}
--- a/internal/mirror/cache.go
+++ b/internal/mirror/cache.go
@@ -120,29 +120,33 @@
 }
 
 // read returns all documents if since is 0, and otherwise the changes after it as soon as there are any; after wait it
-// returns an empty batch. While this host reads the first list, read waits for it. The error is ErrNotReading, ErrLoading,
-// ErrHistoryGone or that of ctx.
-func (c *cache) read(ctx context.Context, since int64, wait time.Duration) (Batch, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+// returns an empty batch. While this host reads the first list, read waits for it. The error is ErrNotReading, also as soon as
+// the last confirmation is older than maxAge, ErrLoading, ErrHistoryGone or that of ctx.
+func (c *cache) read(ctx context.Context, since int64, wait, maxAge time.Duration) (Batch, error) {
+	end := time.Now().Add(wait)
 	for {
-		b, changed, err := c.changesSince(since)
+		b, changed, err := c.changesSince(since, maxAge)
 		isLoading := errors.Is(err, ErrLoading)
-		if !isLoading && (err != nil || since == 0 || len(b.Changed)+len(b.Removed) > 0) {
+		left := time.Until(end)
+		if !isLoading && (err != nil || since == 0 || len(b.Changed)+len(b.Removed) > 0) || left <= 0 {
 			return b, err
 		}
+		if !isLoading {
+			left = min(left, maxAge-b.Age+time.Millisecond)
+		}
+		timer := time.NewTimer(left)
 		select {
 		case <-changed:
 		case <-timer.C:
-			b, _, err := c.changesSince(since)
-			return b, err
 		case <-ctx.Done():
+			timer.Stop()
 			return Batch{}, ctx.Err()
 		}
+		timer.Stop()
 	}
 }
 
-func (c *cache) changesSince(since int64) (Batch, <-chan struct{}, error) {
+func (c *cache) changesSince(since int64, maxAge time.Duration) (Batch, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age := ticks.Now() - c.confirmed
--- a/internal/mirror/conn.go
+++ b/internal/mirror/conn.go
@@ -10,8 +10,12 @@
 	"google.golang.org/grpc"
 )
 
-// errSilent means that no bytes have arrived from a host for too long.
-var errSilent = errors.New("host is silent")
+var (
+	// errSilent means that no bytes have arrived from a host for too long.
+	errSilent = errors.New("host is silent")
+	// errSlow means that an answer took longer than its question allows.
+	errSlow = errors.New("host answers too slowly")
+)
 
 // conn is a connection to another host that records when bytes arrive. A list for many hosts may take seconds on the link of
 // a host that is well.
--- a/internal/mirror/crowd_test.go
+++ b/internal/mirror/crowd_test.go
@@ -211,15 +211,15 @@
 	link := &Link{}
 	t.Cleanup(link.Close)
 	host := Host{Name: "reader", Address: p.address}
-	_, err := link.Read(t.Context(), host, "servers", 9000, 0)
+	_, err := link.Read(t.Context(), host, question{kind: "servers", since: 9000})
 	assert.NilError(t, err)
 	ended := make(chan error, 1)
 	go func() {
-		_, err := link.Read(t.Context(), host, "servers", 9000, 10*time.Millisecond)
+		_, err := link.Read(t.Context(), host, question{kind: "servers", since: 9000, wait: 10 * time.Millisecond})
 		ended <- err
 	}()
 	began := time.Now()
-	b, err := link.Read(t.Context(), host, "servers", 0, 0)
+	b, err := link.Read(t.Context(), host, question{kind: "servers"})
 	assert.NilError(t, err)
 	assert.Equal(t, len(b.Changed), crowdServers)
 	assert.Assert(t, time.Since(began) > 2*responseTimeout, "a list that takes long")
@@ -228,7 +228,7 @@
 	p.isHeld.Store(true)
 	time.Sleep(100 * time.Millisecond)
 	began = time.Now()
-	_, err = link.Read(t.Context(), host, "servers", 0, 0)
+	_, err = link.Read(t.Context(), host, question{kind: "servers"})
 	assert.Assert(t, err != nil && time.Since(began) < 2*responseTimeout, "a silent host: %s", time.Since(began))
 }
 
@@ -240,11 +240,11 @@
 	t.Cleanup(link.Close)
 	ended := make(chan error, 1)
 	go func() {
-		_, err := link.Read(t.Context(), host, "config", 10, 500*time.Millisecond)
+		_, err := link.Read(t.Context(), host, question{kind: "config", since: 10, wait: 500 * time.Millisecond})
 		ended <- err
 	}()
 	time.Sleep(100 * time.Millisecond)
-	_, err = link.Read(t.Context(), host, "servers", 0, 0)
+	_, err = link.Read(t.Context(), host, question{kind: "servers"})
 	assert.ErrorContains(t, err, ErrNotReading.Error())
 	assert.NilError(t, <-ended)
 }
@@ -253,7 +253,7 @@
 	p := startCrowdReader(t)
 	link := &Link{}
 	t.Cleanup(link.Close)
-	b, err := link.Read(t.Context(), Host{Name: "reader", Address: p.address}, "servers", 0, 0)
+	b, err := link.Read(t.Context(), Host{Name: "reader", Address: p.address}, question{kind: "servers"})
 	assert.NilError(t, err)
 	assert.Equal(t, len(b.Changed), crowdServers)
 	seconds := float64(p.bytes.Load()*crowdHosts) / crowdLink
@@ -266,7 +266,7 @@
 	from := Host{Name: "reader", Address: p.address}
 	for i := range links {
 		t.Cleanup(links[i].Close)
-		_, err := links[i].Read(t.Context(), from, "servers", 9000, 0)
+		_, err := links[i].Read(t.Context(), from, question{kind: "servers", since: 9000})
 		assert.NilError(t, err)
 	}
 	p.isHeld.Store(true)
@@ -275,7 +275,7 @@
 	ended := make(chan error, crowdHosts)
 	for i := range links {
 		go func() {
-			_, err := links[i].Read(ctx, from, "servers", 0, 10*time.Second)
+			_, err := links[i].Read(ctx, from, question{kind: "servers", since: 0, wait: 10 * time.Second})
 			ended <- err
 		}()
 	}
--- a/internal/mirror/link.go
+++ b/internal/mirror/link.go
@@ -39,19 +39,32 @@
 	conns map[Host]*conn
 }
 
-// Read reads all documents of a kind from a host (since 0), or waits for changes after a revision. It returns
-// ErrHistoryGone if a full list is needed. A call lasts as long as bytes of any call arrive from the host.
-func (l *Link) Read(ctx context.Context, from Host, kind string, since int64, wait time.Duration) (Batch, error) {
+// question is what one host reads from another: all documents of a kind (since 0), or changes after a revision.
+type question struct {
+	kind  string
+	since int64
+	wait  time.Duration
+	// maxDelay bounds how long the answer may take beyond the wait while bytes arrive; 0 means no bound.
+	maxDelay time.Duration
+}
+
+// Read reads documents from a host. It returns ErrHistoryGone if a full list is needed. A call lasts as long as bytes of any
+// call arrive from the host, and no longer than the question allows.
+func (l *Link) Read(ctx context.Context, from Host, q question) (Batch, error) {
 	conn, err := l.conn(from)
 	if err != nil {
 		return Batch{}, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := conn.limitSilence(wait, func() { cancel(errSilent) })
+	silence := conn.limitSilence(q.wait, func() { cancel(errSilent) })
 	defer silence.stop()
+	if q.maxDelay > 0 {
+		timer := time.AfterFunc(q.wait+q.maxDelay, func() { cancel(errSlow) })
+		defer timer.Stop()
+	}
 	reply, err := mirpb.NewMirrorClient(conn).Read(ctx, &mirpb.ReadRequest{
-		Kind: kind, Since: since, WaitMs: wait.Milliseconds(), AcceptsPacked: true,
+		Kind: q.kind, Since: q.since, WaitMs: q.wait.Milliseconds(), AcceptsPacked: true,
 	})
 	if status.Code(err) == codes.Aborted {
 		return Batch{}, ErrLoading
@@ -64,8 +77,8 @@
 		if status.Code(err) != codes.Unknown {
 			l.closeConn(from, conn)
 		}
-		if errors.Is(context.Cause(ctx), errSilent) {
-			err = errSilent
+		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errSlow) {
+			err = cause
 		}
 		return Batch{}, errors.Wrapf(err, "read from host %s", from.Name)
 	}
@@ -138,7 +151,7 @@
 // Read returns documents that this host has read from the store.
 func (s *Server) Read(ctx context.Context, in *mirpb.ReadRequest) (*mirpb.ReadReply, error) {
 	c := s.Mirror.cache(in.GetKind())
-	b, err := c.read(ctx, in.GetSince(), time.Duration(in.GetWaitMs())*time.Millisecond)
+	b, err := c.read(ctx, in.GetSince(), time.Duration(in.GetWaitMs())*time.Millisecond, s.Mirror.maxAge(in.GetKind()))
 	if errors.Is(err, ErrHistoryGone) {
 		return &mirpb.ReadReply{HistoryGone: true}, nil
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -30,8 +30,7 @@
 	// maxAge is the age of the last confirmation up to which documents are passed on to other hosts. It exceeds twice
 	// the longest wait for changes.
 	maxAge = 4500 * time.Millisecond
-	// maxReaderAge is the same bound for the kind that decides whether a host counts as reading; this kind is confirmed
-	// more often.
+	// maxReaderAge is the default of Mirror.MaxReaderAge.
 	maxReaderAge = 2500 * time.Millisecond
 	// loadWait is how long one call for a list waits at a host that is reading its first one.
 	loadWait = 300 * time.Millisecond
@@ -85,7 +84,13 @@
 	Link    *Link
 	// ReaderKind is the kind that decides whether a host counts as reading the store.
 	ReaderKind string
-	Log        *slog.Logger
+	// MaxReaderAge is the age of the last confirmation up to which documents of ReaderKind are passed on to other hosts; 0 means
+	// 2.5 s. This kind is confirmed more often than others.
+	MaxReaderAge time.Duration
+	// MaxReaderDelay bounds how long a call for ReaderKind to another host may last beyond its wait while bytes arrive; 0 means
+	// no bound.
+	MaxReaderDelay time.Duration
+	Log            *slog.Logger
 
 	mu    sync.Mutex
 	kinds map[string]*cache
@@ -113,6 +118,8 @@
 	maxCallingHostsPerSecond = 15
 	// maxPause bounds the backoff of one host from a failing store.
 	maxPause = 4 * time.Second
+	// minCallTime is the time that a call to the store has beyond its wait.
+	minCallTime = 300 * time.Millisecond
 	// takeoverHosts is the number of hosts above which a host that loses its reader waits up to maxTakeover for another one
 	// to become the reader, so that not all of them call the store.
 	takeoverHosts = 100
@@ -203,6 +210,13 @@
 	if m.isBackingOff() {
 		return Batch{}, ErrNotReading
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		// A call to another host may have used the time, which is no failure of the store.
+		wait = min(wait, time.Until(deadline)-minCallTime)
+		if wait < 0 {
+			return Batch{}, errors.Wrap(ErrNotReading, "no time is left for a call to the store")
+		}
+	}
 	began := ticks.Now()
 	b, err = m.Store.Changes(ctx, kind, since, wait)
 	m.recordOutcome(err)
@@ -222,11 +236,11 @@
 	if !ok || m.isAvoided(reader.Name, kind) {
 		return Batch{}, ErrNotReading
 	}
-	b, err := m.Link.Read(ctx, reader, kind, since, wait)
-	if err == nil && b.Age > maxAge {
+	b, err := m.Link.Read(ctx, reader, m.question(kind, since, wait))
+	if err == nil && b.Age > m.maxAge(kind) {
 		err = errors.Newf("documents of host %s are %s old", reader.Name, b.Age)
 	}
-	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrLoading) || ctx.Err() != nil {
+	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrLoading) || errors.Is(ctx.Err(), context.Canceled) {
 		m.mu.Lock()
 		m.lostAt = time.Time{}
 		m.mu.Unlock()
@@ -263,7 +277,28 @@
 // IsReading reports whether this host can read for others: the store itself has confirmed its documents recently.
 func (m *Mirror) IsReading(kind string) bool {
 	_, age, ok := m.cache(kind).status()
-	return ok && age <= maxReaderAge
+	return ok && age <= m.maxAge(kind)
+}
+
+// maxAge returns the age of the last confirmation up to which documents of a kind are passed on.
+func (m *Mirror) maxAge(kind string) time.Duration {
+	switch {
+	case kind != m.ReaderKind:
+		return maxAge
+	case m.MaxReaderAge > 0:
+		return m.MaxReaderAge
+	default:
+		return maxReaderAge
+	}
+}
+
+// question returns the question to another host.
+func (m *Mirror) question(kind string, since int64, wait time.Duration) question {
+	q := question{kind: kind, since: since, wait: wait}
+	if kind == m.ReaderKind {
+		q.maxDelay = m.MaxReaderDelay
+	}
+	return q
 }
 
 func (m *Mirror) cache(kind string) *cache {
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -34,6 +34,15 @@
 	// pollsPerKeyAge is the number of waits for a newer table that the maximum key age allows. A confirmation is up to two
 	// waits old at the reading host, two more at a host that reads from it, and one call may fail.
 	pollsPerKeyAge = 5
+	// The parts of the time in which a table must be in force everywhere: the wait of a call for a newer one, the time that this
+	// call has beyond its wait, the time that another host has for it, and the age up to which another host's table counts.
+	// A silent or slow call, the pause after it and the next call fit within the time, and so do a table of that age and a call.
+	tableWaitPart   = 0.2
+	tableSlackPart  = 0.3
+	readerDelayPart = 0.2
+	readerAgePart   = 0.6
+	// maxReaderAge bounds that age where the time is long.
+	maxReaderAge = 2500 * time.Millisecond
 	// serversWait is the wait of one call for changed backend servers and failure domains. It bounds the age at which a
 	// reading host passes them on.
 	serversWait = 2 * time.Second
@@ -95,8 +104,9 @@
 	return platform.NewStore(s.Store, log)
 }
 
-func newMirror(st *platform.Store, g *gossip.Gossip, health *watch.Health, log *slog.Logger) *mirror.Mirror {
+func newMirror(s config.Settings, st *platform.Store, g *gossip.Gossip, health *watch.Health, log *slog.Logger) *mirror.Mirror {
 	m := &mirror.Mirror{Store: st, Readers: g, Link: &mirror.Link{}, ReaderKind: platform.KindTables, Log: log}
+	boundTableAge(s, m)
 	g.IsReading = func() bool { return m.IsReading(platform.KindTables) && !health.IsUnreachable() }
 	return m
 }
@@ -179,16 +189,31 @@
 
 // tableWaitFor returns the wait of one call for a newer table.
 func tableWaitFor(s config.Settings) time.Duration {
-	if s.Platform.KeyAge == 0 {
-		return tableWait
+	wait := tableWait
+	if s.Platform.KeyAge > 0 {
+		wait = min(wait, keyAge(s)/pollsPerKeyAge)
 	}
-	return min(tableWait, keyAge(s)/pollsPerKeyAge)
+	if s.Platform.TableApply > 0 {
+		wait = min(wait, applyPart(s, tableWaitPart))
+	}
+	return wait
+}
+
+// applyPart returns a part of the time in which a table must be in force.
+func applyPart(s config.Settings, part float64) time.Duration {
+	return time.Duration(part * float64(s.Platform.TableApply))
+}
+
+// boundTableAge bounds how long a host relies on another one for the table.
+func boundTableAge(s config.Settings, m *mirror.Mirror) {
+	m.MaxReaderAge = min(maxReaderAge, applyPart(s, readerAgePart))
+	m.MaxReaderDelay = applyPart(s, readerDelayPart)
 }
 
 func newTables(s config.Settings, m *mirror.Mirror, h *policy.Holder, health *watch.Health, g *gossip.Gossip, log *slog.Logger) *watch.Follower[*policy.Table] {
 	return &watch.Follower[*policy.Table]{
 		Kind: "table", Source: platform.Tables{Store: m, Log: log}, Sink: &watch.Tables{Holder: h, Log: log},
-		Wait: tableWaitFor(s), BatchDelay: batchDelay / 2, Health: health, HasReader: hasReader(g), Log: log,
+		Wait: tableWaitFor(s), Slack: applyPart(s, tableSlackPart), BatchDelay: batchDelay / 2, Health: health, HasReader: hasReader(g), Log: log,
 	}
 }
 
--- a/internal/site/intime_test.go
+++ b/internal/site/intime_test.go
@@ -232,8 +232,10 @@
 }
 
 // newTestMirror returns a host's mirror.
-func newTestMirror(_ config.Settings, store mirror.Store, readers mirror.Readers, log *slog.Logger) *mirror.Mirror {
-	return &mirror.Mirror{Store: store, Readers: readers, Link: &mirror.Link{}, ReaderKind: platform.KindTables, Log: log}
+func newTestMirror(s config.Settings, store mirror.Store, readers mirror.Readers, log *slog.Logger) *mirror.Mirror {
+	m := &mirror.Mirror{Store: store, Readers: readers, Link: &mirror.Link{}, ReaderKind: platform.KindTables, Log: log}
+	boundTableAge(s, m)
+	return m
 }
 
 // nested is an entry that package json refuses to read.
@@ -259,6 +261,10 @@
 		}},
 		{"a call to the store fails once, no reader", 83, false, grown, func(r *tableRig) { r.store.CloseClientConnections() }},
 		{"the reader loses the store", 7, true, small, func(r *tableRig) { r.toStore.isCut.Store(true) }},
+		{"the reader loses the store while the other host's call waits", 7, true, small, func(r *tableRig) {
+			time.Sleep(400 * time.Millisecond)
+			r.toStore.isCut.Store(true)
+		}},
 		{"the reader's calls to the store fall silent", 7, true, small, func(r *tableRig) { r.toStore.hold() }},
 		{"the reader falls silent", 7, true, small, func(r *tableRig) { r.toReader.isCut.Store(true) }},
 		{"the reader's connections fall silent", 7, true, small, func(r *tableRig) { r.toReader.hold() }},
@@ -267,7 +273,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			r := &tableRig{hosts: tc.hosts, hasReader: tc.hasReader}
-			r.settings = config.Settings{Region: "east", Platform: &config.Platform{KeyAge: config.Duration(5 * time.Second)}}
+			r.settings = config.Settings{Region: "east", Platform: &config.Platform{KeyAge: config.Duration(5 * time.Second), TableApply: config.Duration(tc.bound)}}
 			holder := r.start(t)
 			// A reader that has just read a change counts as reading for longest.
 			r.put(0)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -21,7 +21,8 @@
 	retryMax   = time.Second
 	// readerPollInterval is the interval of checks for a host that reads the store for this one; they don't call the store.
 	readerPollInterval = 80 * time.Millisecond
-	// responseSlack is added to the wait of a call for changes to give the call's timeout.
+	// responseSlack is the default of Follower.Slack, and its value after a failed call: a store that is slow is read late
+	// rather than never.
 	responseSlack = 2 * time.Second
 	// listTimeout bounds a full list; a list from another host may take longer than one from the store.
 	listTimeout = 10 * time.Second
@@ -60,6 +61,8 @@
 	// Wait is how long one call waits for changes. It limits how old the last confirmation can get while the
 	// store answers.
 	Wait time.Duration
+	// Slack is added to the wait of a call to give its timeout, unless the call before failed; 0 means 2 s.
+	Slack time.Duration
 	// BatchDelay is the mean pause after a batch of changes, so that changes in quick succession come in one call.
 	BatchDelay time.Duration
 	// Health records the outcome of every call to the store.
@@ -82,10 +85,12 @@
 	}
 	retries.Reset()
 	revision := int64(0)
+	hasFailed := false
 	for ctx.Err() == nil {
 		start := time.Now()
 		pauseFully := f.HasReader == nil || f.HasReader()
-		next, changed, err := f.step(ctx, revision)
+		next, changed, err := f.step(ctx, revision, f.slack(hasFailed))
+		hasFailed = err != nil
 		f.SyncStatus.record(err == nil)
 		if !errors.Is(err, mirror.ErrNotReading) {
 			f.Health.Record(err == nil || errors.Is(err, mirror.ErrHistoryGone) || errors.Is(err, mirror.ErrUnreadable))
@@ -119,6 +124,14 @@
 	return nil
 }
 
+// slack returns the time that a call has beyond its wait.
+func (f *Follower[T]) slack(hasFailed bool) time.Duration {
+	if f.Slack == 0 || hasFailed {
+		return responseSlack
+	}
+	return f.Slack
+}
+
 // pause waits for d. Unless pauseFully is set, it ends early when another host reads the store for this one, which may
 // have begun already during the preceding call.
 func (f *Follower[T]) pause(ctx context.Context, d time.Duration, pauseFully bool) {
@@ -132,7 +145,7 @@
 }
 
 // step makes one call and passes the result to the sink.
-func (f *Follower[T]) step(ctx context.Context, revision int64) (next int64, changed bool, err error) {
+func (f *Follower[T]) step(ctx context.Context, revision int64, slack time.Duration) (next int64, changed bool, err error) {
 	began := ticks.Now()
 	if revision == 0 {
 		listCtx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -144,7 +157,7 @@
 		f.Sink.Replace(b, began-b.Age)
 		return b.Revision, true, nil
 	}
-	watchCtx, cancel := context.WithTimeout(ctx, f.Wait+responseSlack)
+	watchCtx, cancel := context.WithTimeout(ctx, f.Wait+slack)
 	defer cancel()
 	b, err := f.Source.Changes(watchCtx, revision, f.Wait)
 	if err != nil {
