--- a/internal/fakes/plat/server.go
+++ b/internal/fakes/plat/server.go
@@ -25,6 +25,9 @@
 	Ran bool
 	// At is the time at which the request was received.
 	At time.Time
+
+	// states are the header lines that the server adds to its response.
+	states string
 }
 
 // Attempt returns the ID of the caller's attempt.
@@ -59,6 +62,8 @@
 
 	listener net.Listener
 	mu       sync.Mutex
+	// states are header lines of all responses.
+	states   string
 	requests []*Request
 	// inProgress counts the requests without a complete response.
 	inProgress int
@@ -172,6 +177,13 @@
 	r.Ran = true
 }
 
+// State adds header lines, each ending with a line break, to all responses from now on.
+func (s *Server) State(lines string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.states = lines
+}
+
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int {
 	s.mu.Lock()
@@ -205,6 +217,7 @@
 	}
 	req := &Request{Request: r, Text: string(text), At: time.Now()}
 	s.mu.Lock()
+	req.states = s.states
 	s.requests = append(s.requests, req)
 	s.inProgress++
 	s.mu.Unlock()
@@ -256,7 +269,7 @@
 // Reply writes a whole response; each of the header lines ends with a line break.
 func Reply(conn net.Conn, r *Request, status int, body, headers string) {
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), r.Header.Get("Attempt-Id"), headers, len(body), body)
+		status, http.StatusText(status), r.Header.Get("Attempt-Id"), r.states+headers, len(body), body)
 }
 
 // Event returns the event with a number of a request's stream, in the text/event-stream format.
@@ -267,7 +280,7 @@
 // WriteStreamHeader writes the status line and header of a stream.
 func WriteStreamHeader(conn net.Conn, r *Request) {
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		r.Header.Get("Attempt-Id"), Signature)
+		r.Header.Get("Attempt-Id"), r.states+Signature)
 }
 
 // WriteChunk writes a chunk of a stream; an empty one ends the stream.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
@@ -53,6 +54,11 @@
 	Enter(id string, keys crash.Keys, abort func()) *crash.Run
 }
 
+// Notices keeps what backend servers state of themselves in their answers.
+type Notices interface {
+	Heard(server notice.Server, states notice.Statement)
+}
+
 // Store reports the state of the platform's store.
 type Store interface {
 	// IsUnreachable reports whether notices of backend servers that shut down may have been missed.
@@ -67,10 +73,11 @@
 	Copies      Copies
 	Budget      Budget
 	// Queue holds requests until a model engine has room.
-	Queue *queue.Queue
-	Guard Guard
-	Meter Meter
-	Log   *slog.Logger
+	Queue   *queue.Queue
+	Guard   Guard
+	Notices Notices
+	Meter   Meter
+	Log     *slog.Logger
 
 	keyAge atomic.Int64
 	// stopAt is when a stopping host aborts the requests still in progress; nil unless the host is stopping.
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -17,6 +17,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/crash"
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 	"github.com/tarragonspur/tarragonspur/internal/front"
+	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
@@ -32,6 +33,7 @@
 	engines []*plat.Server
 	copies  *plat.CopyRegistry
 	guard   *crash.Table
+	notices *notice.Table
 	// later is added to the guard's time.
 	later       atomic.Int64
 	denyRetries bool
@@ -87,13 +89,14 @@
 func newRig(t *testing.T, engines int) *rig {
 	t.Helper()
 	r := &rig{copies: &plat.CopyRegistry{}, guard: &crash.Table{Host: "h0", Log: slog.New(slog.NewTextHandler(io.Discard, nil))}}
+	r.notices = &notice.Table{Log: slog.New(slog.DiscardHandler)}
 	r.guard.Now = func() time.Duration { return time.Hour + ticks.Now() + time.Duration(r.later.Load()) }
 	holder := &policy.Holder{}
 	holder.PutIfNewer(table())
 	holder.Confirm(ticks.Now())
 	r.Front = &front.Front{
 		RoutingState: front.RoutingState{Tables: holder, Pool: &pool.Pool{Domain: "d1", Region: "east", Jitter: func() float64 { return 0 }}},
-		HeaderCodec:  platform.HeaderCodec{}, Copies: platform.Engines{}, Store: r, Budget: r, Queue: &queue.Queue{Now: time.Now}, Guard: r.guard, Meter: meter{},
+		HeaderCodec:  platform.HeaderCodec{}, Copies: platform.Engines{}, Store: r, Budget: r, Queue: &queue.Queue{Now: time.Now}, Guard: r.guard, Notices: r.notices, Meter: meter{},
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	for i := range engines {
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 )
@@ -62,6 +63,10 @@
 	IsNotRun bool
 	// IsSigned reports whether the answer carries the backend server's signature.
 	IsSigned bool
+	// Instance is the ID of the backend server that answered; empty if the answer states none.
+	Instance string
+	// States is what the backend server states of itself.
+	States notice.Statement
 }
 
 // HeaderCodec translates between the platform's headers and the types of this package.
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
@@ -128,6 +129,9 @@
 		return nil, q.handleSendError(ctx, lease, err)
 	}
 	reply := q.HeaderCodec.Reply(answer.Status, answer.Header)
+	if s := lease.Server; reply.Instance == "" || reply.Instance == s.ID {
+		q.Notices.Heard(notice.Server{ID: s.ID, Service: s.Service, StartedMS: s.StartedMS}, reply.States)
+	}
 	if reply.IsNotRun && q.isOwn(reply) {
 		q.sends.Add(1)
 		answer.Close()
--- /dev/null
+++ b/internal/notice/notice.go
@@ -0,0 +1,184 @@
+// Package notice keeps what backend servers state of themselves in their answers, by server and incarnation, and shares a stated
+// limit among all hosts.
+package notice
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
+)
+
+const (
+	// endDelay is the time between the last answer with a limit and one without, after which the limit has ended: answers of
+	// the same moment may arrive in any order, and a server may state it in some of them only.
+	endDelay = 2 * time.Second
+	// forgetAfter is how long a state without news is kept after it has ended.
+	forgetAfter = 30 * time.Second
+	// minLimit is the lowest limit in requests a second that is kept to: at none, no answer could end it.
+	minLimit = 0.05
+	// maxServers bounds the backend servers with a state.
+	maxServers = 1024
+)
+
+// Statement is what one answer states of the backend server that gave it.
+type Statement struct {
+	// Limit is the number of requests a second that the server takes from all hosts together; 0 if it states none.
+	Limit float64
+}
+
+// Server identifies a backend server and its incarnation.
+type Server struct {
+	ID      string
+	Service string
+	// StartedMS is the start time of the incarnation in Unix milliseconds; 0 if unknown.
+	StartedMS int64
+}
+
+// Table holds what backend servers have stated. It is safe for concurrent use; it calls Share with the lock held.
+type Table struct {
+	// Share returns this host's share of the requests to a service; nil means all of them.
+	Share func(service string) float64
+	// OnChange is called after a statement that other hosts should learn at once; may be nil.
+	OnChange func()
+	// Now returns the time of a monotonic clock; nil means that of package ticks.
+	Now func() time.Duration
+	// Phase returns a number from 0 to 1 that keeps hosts from sending at the same moment; nil means random.
+	Phase func() float64
+	Log   *slog.Logger
+
+	// count is the number of servers with a state, for callers that have no need to wait for the lock.
+	count atomic.Int32
+
+	mu      sync.Mutex
+	servers map[string]*state
+	version uint64
+}
+
+// state is what is known of one backend server.
+type state struct {
+	Server
+
+	// limit was last stated at limitedAt; an answer without one last came at unlimitedAt. Zero times mean never.
+	limit       float64
+	limitedAt   time.Duration
+	unlimitedAt time.Duration
+	// tokens are the sends that this host may make, as of accruedAt.
+	tokens    float64
+	accruedAt time.Duration
+}
+
+// isLimited reports whether the server's limit is in force.
+func (s *state) isLimited() bool { return s.limitedAt > 0 && s.unlimitedAt-s.limitedAt < endDelay }
+
+// newsAt returns the time of the latest answer that counts.
+func (s *state) newsAt() time.Duration { return max(s.limitedAt, s.unlimitedAt) }
+
+// Heard records what an answer of a backend server states.
+func (t *Table) Heard(server Server, st Statement) {
+	if st == (Statement{}) && t.count.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	now := t.now()
+	s := t.state(server, st != Statement{}, now)
+	if s == nil {
+		t.mu.Unlock()
+		return
+	}
+	before := s.isLimited()
+	limit := s.limit
+	if st.Limit > 0 {
+		s.limit, s.limitedAt = max(minLimit, st.Limit), now
+	} else {
+		s.unlimitedAt = now
+	}
+	isChanged := before != s.isLimited() || s.isLimited() && s.limit != limit
+	t.logLimit(s, before, limit, "")
+	t.mu.Unlock()
+	if isChanged && t.OnChange != nil {
+		t.OnChange()
+	}
+}
+
+// logLimit logs a limit that has changed and starts a new one; the caller holds the lock.
+func (t *Table) logLimit(s *state, wasLimited bool, before float64, host string) {
+	switch {
+	case s.isLimited() && !wasLimited:
+		s.tokens, s.accruedAt = t.phase(), t.now()
+		fallthrough
+	case s.isLimited() && s.limit != before:
+		t.version++
+		t.Log.Info("backend server states a limit", "server", s.ID, "service", s.Service, "per_s", s.limit, "host", host)
+	case wasLimited && !s.isLimited():
+		t.version++
+		t.Log.Info("backend server's limit ended", "server", s.ID, "service", s.Service, "host", host)
+	}
+}
+
+// state returns the state of a server's incarnation, nil if there is none and it is not to be made; the caller holds the lock.
+func (t *Table) state(server Server, mustExist bool, now time.Duration) *state {
+	s := t.servers[server.ID]
+	if s != nil && s.StartedMS < server.StartedMS && s.StartedMS > 0 {
+		t.drop(s.ID)
+		s = nil
+	}
+	if s != nil || !mustExist {
+		return s
+	}
+	t.expire(now)
+	if len(t.servers) >= maxServers {
+		t.Log.Warn("statement of a backend server not kept", "server", server.ID, "servers", len(t.servers))
+		return nil
+	}
+	if t.servers == nil {
+		t.servers = make(map[string]*state)
+	}
+	s = &state{Server: server}
+	t.servers[server.ID] = s
+	t.count.Add(1)
+	return s
+}
+
+func (t *Table) drop(id string) {
+	delete(t.servers, id)
+	t.count.Add(-1)
+}
+
+// expire drops states that have ended or had no news for long; the caller holds the lock.
+func (t *Table) expire(now time.Duration) {
+	for id, s := range t.servers {
+		if now-s.newsAt() > forgetAfter && !s.isLimited() {
+			t.drop(id)
+		}
+	}
+}
+
+// Gone drops what a backend server has stated, when it has ended.
+func (t *Table) Gone(id string) {
+	if t.count.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.servers[id] != nil {
+		t.drop(id)
+	}
+}
+
+func (t *Table) now() time.Duration {
+	if t.Now != nil {
+		return t.Now()
+	}
+	return ticks.Now()
+}
+
+func (t *Table) phase() float64 {
+	if t.Phase != nil {
+		return t.Phase()
+	}
+	return rand.Float64()
+}
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -19,6 +19,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/logs"
 	"github.com/tarragonspur/tarragonspur/internal/metric"
 	"github.com/tarragonspur/tarragonspur/internal/mirror"
+	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
@@ -65,6 +66,7 @@
 	newHealth,
 	newSyncStatus,
 	newCrashes,
+	newNotices,
 	newGossip,
 	newBudget,
 	newQueue,
@@ -147,6 +149,8 @@
 	return &crash.Table{Host: s.Host, Log: log}
 }
 
+func newNotices(log *slog.Logger) *notice.Table { return &notice.Table{Log: log} }
+
 func newGossip(s config.Settings, st *platform.Store, p *pool.Pool, t *crash.Table, w *queue.Queue, log *slog.Logger) *gossip.Gossip {
 	g := gossip.New()
 	g.Self, g.Domain, g.Region, g.Address, g.Cores = s.Host, s.Domain, s.Region, s.Peers, s.Platform.Cores
@@ -172,11 +176,11 @@
 
 func newQueue() *queue.Queue { return &queue.Queue{Now: time.Now} }
 
-func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, w *queue.Queue, t *crash.Table, g *gossip.Gossip, syncStatus *watch.SyncStatus, m *metric.Front, log *slog.Logger) *front.Front {
+func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, w *queue.Queue, t *crash.Table, n *notice.Table, g *gossip.Gossip, syncStatus *watch.SyncStatus, m *metric.Front, log *slog.Logger) *front.Front {
 	f := &front.Front{
 		RoutingState: front.RoutingState{Tables: h, Pool: p},
 		HeaderCodec:  platform.HeaderCodec{}, Copies: platform.Engines{},
-		Store: storeState{g, syncStatus}, Budget: b, Queue: w, Guard: t, Meter: m, Log: log,
+		Store: storeState{g, syncStatus}, Budget: b, Queue: w, Guard: t, Notices: n, Meter: m, Log: log,
 	}
 	f.SetMaxKeyAge(keyAge(s))
 	return f
