--- a/internal/front/fail.go
+++ b/internal/front/fail.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
 )
 
@@ -42,9 +43,18 @@
 	return e
 }
 
+// beyondLimits returns the refusal of a request that did not run, because all backend servers that could take it have stated
+// limits that are used up for a time.
+func beyondLimits(wait time.Duration) *refuse.Error {
+	e := refuse.New(refuse.CodeOverloaded, pool.ErrLimited.Error())
+	e.RetryAfter = max(transientRetryAfter, wait)
+	return e
+}
+
 // callerError converts the error that ended a request into the one that its caller receives.
 func (q *request) callerError(caller context.Context, err error) error {
 	var refused *refuse.Error
+	var limited *pool.LimitedError
 	switch {
 	case caller.Err() != nil:
 		return errors.Mark(err, errCallerGone)
@@ -52,6 +62,9 @@
 		return err
 	case q.runs.Load() == 0 && errors.Is(err, crash.ErrQuarantined):
 		return errors.WithSecondaryError(q.quarantined(q.Guard.Check(q.keys)), err)
+	case q.runs.Load() == 0 && errors.As(err, &limited):
+		q.log.Info("request beyond the servers' limits", "service", q.service.Name, "wait", limited.Wait)
+		return errors.WithSecondaryError(beyondLimits(limited.Wait), err)
 	case q.runs.Load() == 0:
 		return errors.WithSecondaryError(retryable(refuse.CodeNoBackend, "no backend server could take the request"), err)
 	case !time.Now().Before(q.deadline):
--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -54,7 +54,7 @@
 	a := q.requirements()
 	a.MaxDelay, a.MaxMemoryUse = l.Delay, l.MemoryUse
 	lease, err := q.Pool.Choose(a, time.Now())
-	if errors.Is(err, pool.ErrBusy) {
+	if errors.Is(err, pool.ErrBusy) || errors.Is(err, pool.ErrLimited) {
 		return nil, errors.Mark(err, queue.ErrBusy)
 	}
 	return lease, err
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -10,6 +10,7 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/send"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 const (
@@ -21,6 +22,9 @@
 	// prefillWait bounds how long after a shutdown notice a migration waits until its target has finished pending prefills:
 	// these double the time between events. The shortest notices leave 1.5 s.
 	prefillWait = 900 * time.Millisecond
+	// maxResumeWait bounds how long a stream waits for a backend server's limit before it is resumed there; callers leave after a
+	// gap of 2 s.
+	maxResumeWait = time.Second
 	// copyRefreshAge is the age at which a precautionary copy is refreshed. Engines drop copies after about 5 s.
 	copyRefreshAge = 3 * time.Second
 )
@@ -103,6 +107,9 @@
 	if time.Since(s.leavingSince) < prefillWait && s.Pool.PendingPromptTokens(sb.claim.Server.ID) > 0 {
 		return
 	}
+	if s.Pool.WaitToResume(sb.claim.Server.ID) > 0 {
+		return
+	}
 	s.leavingSince = time.Time{}
 	s.current.standby = nil
 	s.migrateTo(sb, server)
@@ -268,6 +275,9 @@
 		s.log.Info("stream could not go on elsewhere", "error", o.err, "last_event", s.lastNumber)
 	}
 	if sb != nil {
+		if wait := s.Pool.WaitToResume(sb.claim.Server.ID); wait > 0 && wait <= maxResumeWait {
+			ticks.Sleep(s.ctx, wait)
+		}
 		if !s.Budget.Allow(s.service.Name, true) {
 			s.discard(sb)
 			return nil, errors.New("the retry budget is exhausted")
@@ -326,6 +336,7 @@
 	s.log.Info("copy on demand asked for", "server", server.ID, "to", sb.claim.Server.ID, "tokens", s.expectedTokens(), "held", sb.claim.LoadBefore.Tokens,
 		"pending", sb.claim.LoadBefore.PendingPromptTokens, "last_event", s.lastNumber)
 	s.isCopying = true
+	s.Pool.Sent(server.ID)
 	go func() {
 		made, err := s.Copies.Copy(s.ctx, server.Address, s.ID, sb.claim.Server.Address)
 		s.copyResults <- copyResult{standby: sb, newCopy: made, copiedAt: time.Now(), server: server.ID, err: err}
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -93,6 +93,7 @@
 	if s.copy.Name == "" {
 		return
 	}
+	q.Pool.Sent(s.claim.Server.ID)
 	q.active.Add(1)
 	go func() {
 		defer q.active.Done()
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/notice"
 )
 
 // message is one datagram.
@@ -41,9 +42,11 @@
 	WantsIntroductions bool           `cbor:"11,keyasint,omitempty"`
 	Introductions      []Introduction `cbor:"12,keyasint,omitempty"`
 	Domain             string         `cbor:"13,keyasint,omitempty"`
-	// Crashes is the evidence of crashes, and EvidenceVersion the number of its state, which is not sent.
+	// Crashes is the evidence of crashes, and EvidenceVersion the number of its state and that of Notices, which is not sent.
 	Crashes         []crash.Evidence `cbor:"14,keyasint,omitempty"`
 	EvidenceVersion uint64           `cbor:"-"`
+	// Notices is what backend servers have stated of themselves.
+	Notices []notice.Report `cbor:"15,keyasint,omitempty"`
 }
 
 // Introduction describes a host that the sender has seen recently, itself or through others.
@@ -104,4 +107,6 @@
 	HasCounts bool `cbor:"14,keyasint,omitempty"`
 	// Crashes is the evidence of crashes that this or another host has.
 	Crashes []crash.Evidence `cbor:"15,keyasint,omitempty"`
+	// Notices is what backend servers have stated of themselves, to this or another host.
+	Notices []notice.Report `cbor:"16,keyasint,omitempty"`
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,6 +15,7 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/budget"
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
 	"github.com/tarragonspur/tarragonspur/internal/tally"
@@ -83,6 +84,7 @@
 	IsReading func() bool
 	Pool      *pool.Pool
 	Crashes   *crash.Table
+	Notices   *notice.Table
 	Budget    *budget.Shared
 	Queue     Backlogs
 	Log       *slog.Logger
@@ -375,6 +377,7 @@
 		g.Pool.SetRemoteLoads(d.Host, c.Loads)
 	}
 	g.Crashes.Merge(d.Crashes)
+	g.Notices.Merge(d.Host, d.Notices)
 }
 
 // expire marks hosts without recent digests as unresponsive and drops their loads.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/budget"
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
@@ -73,7 +74,7 @@
 	m := &member{Gossip: g, ended: make(chan error, 1)}
 	m.reading.Store(reading)
 	g.Self, g.Domain, g.Region, g.Address, g.Cores, g.Registry, g.Log = name, domain, "east", address, cores, r, log
-	g.Pool, g.Crashes = &pool.Pool{Domain: "d1", Region: "east"}, &crash.Table{Log: log}
+	g.Pool, g.Crashes, g.Notices = &pool.Pool{Domain: "d1", Region: "east"}, &crash.Table{Log: log}, &notice.Table{Log: log}
 	g.Pool.Put(pool.Server{ID: "s1", Service: "model", Region: "east", Domain: "d1", Slots: 8}, time.Now())
 	g.Pool.OnClaim = g.BroadcastNow
 	g.Budget = &budget.Shared{Ratio: 0.2, Extra: 10, Window: 10 * time.Second, Hosts: g.Hosts, RemoteCounts: g.Sends, Now: ticks.Now}
@@ -147,7 +148,7 @@
 func TestLoadOfAnUnresponsiveHostIsDropped(t *testing.T) {
 	g := New()
 	g.Self, g.Log = "a", slog.New(slog.NewTextHandler(io.Discard, nil))
-	g.Pool, g.Crashes = &pool.Pool{}, &crash.Table{Log: g.Log}
+	g.Pool, g.Crashes, g.Notices = &pool.Pool{}, &crash.Table{Log: g.Log}, &notice.Table{Log: g.Log}
 	g.Pool.Put(pool.Server{ID: "s1", Service: "model", Slots: 8}, time.Now())
 	from := netip.MustParseAddrPort("127.0.0.1:1")
 	receive := func(incarnation int64, sequence uint64, runs int) {
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -63,7 +63,7 @@
 	g.others = others
 	crashes := fullReport()
 	g.ticks = memberPeriods - 1
-	parcels := g.parcels(others, g.reportingHosts(now), crashes, now)
+	parcels := g.parcels(others, g.reportingHosts(now), evidence{crashes: crashes}, now)
 	assert.Assert(t, len(parcels) > 0)
 	reported, members := 0, 0
 	for _, p := range parcels {
--- a/internal/gossip/relay_test.go
+++ b/internal/gossip/relay_test.go
@@ -125,7 +125,7 @@
 				p := &peer{name: name, domain: fmt.Sprintf("d%d", i%3), cores: 0.2, lastSeen: now, firstSeen: now, reportedAt: now}
 				g.peers[name] = p
 			}
-			relay := g.parcels(tally.Counts{}, g.reportingHosts(now), nil, now)
+			relay := g.parcels(tally.Counts{}, g.reportingHosts(now), evidence{}, now)
 			recipients := 0
 			for _, p := range relay {
 				recipients += len(p.to)
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -39,7 +39,7 @@
 			g.record(sequence, d)
 		}
 		d.Incarnation, d.Sequence = g.incarnation, sequence
-		d.Crashes = g.Crashes.Report()
+		d.Crashes, d.Notices = g.Crashes.Report(), g.Notices.Report()
 		g.write(socket, d, g.due(sequence, d.EvidenceVersion, isUrgent))
 		g.expire()
 	}
@@ -51,7 +51,7 @@
 	g.mu.Unlock()
 	d.Reading = g.IsReading()
 	d.Loads = loadsOf(g.Pool.LocalLoads())
-	d.EvidenceVersion = g.Crashes.Version()
+	d.EvidenceVersion = g.Crashes.Version() + g.Notices.Version()
 	services := make(map[string]tally.Service)
 	for name, c := range g.Budget.LocalCounts() {
 		services[name] = tally.Service{SendCounts: c}
--- a/internal/gossip/share.go
+++ b/internal/gossip/share.go
@@ -2,10 +2,33 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/tarragonspur/tarragonspur/internal/notice"
 )
 
+// LimitShare returns the part of a backend server's limit that this host may use, by the requests to the service at all live
+// hosts. Its own are those of its last digest, as others know them.
+func (g *Gossip) LimitShare(server, service string, limit float64) float64 {
+	seconds := g.Budget.Window.Seconds()
+	rank, hosts, isRanked := g.rank()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own := float64(g.own.Services[service].SendCounts.Arrivals) / seconds
+	now := time.Now()
+	if isRanked {
+		others := g.otherHosts(now).Services[service].SendCounts.Arrivals
+		return notice.ShareByRank(server, limit, (own+float64(others)/seconds)/float64(hosts), rank, hosts)
+	}
+	demand := map[string]float64{g.Self: own}
+	for name, c := range g.reporters.Recent(now) {
+		demand[name] = float64(c.Services[service].SendCounts.Arrivals) / seconds
+	}
+	return notice.ShareByDemand(server, limit, g.Self, demand)
+}
+
 // ColdShare returns this host's share of a limit of sends per second to a cold backend server. If the limit is smaller
 // than the number of hosts, some of them get one send per second each: those whose rank follows a position that depends on
 // the backend server, or, where every host knows all others, those with the highest hash for it.
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/tally"
 )
@@ -21,6 +22,12 @@
 	memberPeriods = 5
 )
 
+// evidence is what relays pass on beside counts.
+type evidence struct {
+	crashes []crash.Evidence
+	notices []notice.Report
+}
+
 // parcel is an encoded summary and its recipients.
 type parcel struct {
 	summary Summary
@@ -38,7 +45,7 @@
 // relay sends summaries if other hosts report to this one, and takes their sums for its own placement.
 func (g *Gossip) relay(socket *net.UDPConn) {
 	now := time.Now()
-	crashes := g.Crashes.Report()
+	evidence := evidence{g.Crashes.Report(), g.Notices.Report()}
 	g.mu.Lock()
 	if !g.isRelayed(now) {
 		mustReset := g.mustReset
@@ -67,7 +74,7 @@
 	g.others.Add(domain)
 	g.others.Add(outside)
 	g.liveHosts, g.hasSum = g.others.Hosts+1, true
-	parcels := g.parcels(domain, reporters, crashes, now)
+	parcels := g.parcels(domain, reporters, evidence, now)
 	loads := g.others.Loads
 	g.mu.Unlock()
 	g.dropLoads(dropped)
@@ -111,7 +118,7 @@
 }
 
 // parcels builds the summaries that are due; the caller holds the lock.
-func (g *Gossip) parcels(others tally.Counts, reporters []*peer, crashes []crash.Evidence, now time.Time) []parcel {
+func (g *Gossip) parcels(others tally.Counts, reporters []*peer, e evidence, now time.Time) []parcel {
 	isPrimary := g.isPrimary(len(reporters)+1, now)
 	g.ticks++
 	if !isPrimary && g.ticks%secondaryPeriods != 0 {
@@ -129,7 +136,8 @@
 	inside.IsGlobal = true
 	if !isPrimary || g.ticks%memberPeriods == 0 {
 		members := g.domainMembers(now)
-		inside.Crashes, outside.Crashes = crashes, crashes
+		inside.Crashes, outside.Crashes = e.crashes, e.crashes
+		inside.Notices, outside.Notices = e.notices, e.notices
 		inside.Members, outside.Members = append(slices.Clone(members), g.foreignMembers(now)...), members
 	}
 
@@ -164,8 +172,8 @@
 	s.Services, s.Hosts, s.Known, s.HasCounts = servicesOf(c.Services), c.Hosts, c.Known, true
 	loads := sent.due(c.Loads, g.ticks, s.IsPrimary)
 	var all []parcel
-	crashes := s.Crashes
-	s.Crashes = nil
+	e := evidence{s.Crashes, s.Notices}
+	s.Crashes, s.Notices = nil, nil
 	for s.HasCounts || len(loads) > 0 {
 		n := min(len(loads), maxSummaryLoads)
 		s.Loads, loads = loads[:n], loads[n:]
@@ -174,9 +182,9 @@
 		all = append(all, parcel{s, to})
 		s.Services, s.Members, s.HasCounts = nil, nil, false
 	}
-	if len(crashes) > 0 {
+	if len(e.crashes)+len(e.notices) > 0 {
 		g.sequence++
-		s.Sequence, s.Loads, s.Crashes = g.sequence, nil, crashes
+		s.Sequence, s.Loads, s.Crashes, s.Notices = g.sequence, nil, e.crashes, e.notices
 		all = append(all, parcel{s, to})
 	}
 	return all
@@ -290,6 +298,7 @@
 		g.Pool.UpdateRemoteLoads(sumName, c.Loads)
 	}
 	g.Crashes.Merge(s.Crashes)
+	g.Notices.Merge(s.Host, s.Notices)
 }
 
 // applyMembers applies the relays and readers that a summary names; hosts that it covers and does not name are no readers
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -16,8 +16,8 @@
 	// endDelay is the time between the last answer with a limit and one without, after which the limit has ended: answers of
 	// the same moment may arrive in any order, and a server may state it in some of them only.
 	endDelay = 2 * time.Second
-	// forgetAfter is how long a state without news is kept after it has ended.
-	forgetAfter = 30 * time.Second
+	// forgetAfter is how long a state without news is kept: the server has ended or gets no requests.
+	forgetAfter = time.Minute
 	// minLimit is the lowest limit in requests a second that is kept to: at none, no answer could end it.
 	minLimit = 0.05
 	// maxServers bounds the backend servers with a state.
@@ -40,8 +40,8 @@
 
 // Table holds what backend servers have stated. It is safe for concurrent use; it calls Share with the lock held.
 type Table struct {
-	// Share returns this host's share of the requests to a service; nil means all of them.
-	Share func(service string) float64
+	// Share returns the part of a backend server's limit, from 0 to 1, that this host may use; nil means all of it.
+	Share func(server, service string, limit float64) float64
 	// OnChange is called after a statement that other hosts should learn at once; may be nil.
 	OnChange func()
 	// Now returns the time of a monotonic clock; nil means that of package ticks.
@@ -69,6 +69,9 @@
 	// tokens are the sends that this host may make, as of accruedAt.
 	tokens    float64
 	accruedAt time.Duration
+	// share is this host's part of the limit as of sharedAt.
+	share    float64
+	sharedAt time.Duration
 }
 
 // isLimited reports whether the server's limit is in force.
@@ -108,7 +111,7 @@
 func (t *Table) logLimit(s *state, wasLimited bool, before float64, host string) {
 	switch {
 	case s.isLimited() && !wasLimited:
-		s.tokens, s.accruedAt = t.phase(), t.now()
+		s.tokens, s.accruedAt, s.sharedAt = t.phase(), t.now(), 0
 		fallthrough
 	case s.isLimited() && s.limit != before:
 		t.version++
@@ -148,27 +151,15 @@
 	t.count.Add(-1)
 }
 
-// expire drops states that have ended or had no news for long; the caller holds the lock.
+// expire drops states without news; the caller holds the lock.
 func (t *Table) expire(now time.Duration) {
 	for id, s := range t.servers {
-		if now-s.newsAt() > forgetAfter && !s.isLimited() {
+		if now-s.newsAt() > forgetAfter {
 			t.drop(id)
 		}
 	}
 }
 
-// Gone drops what a backend server has stated, when it has ended.
-func (t *Table) Gone(id string) {
-	if t.count.Load() == 0 {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.servers[id] != nil {
-		t.drop(id)
-	}
-}
-
 func (t *Table) now() time.Duration {
 	if t.Now != nil {
 		return t.Now()
--- /dev/null
+++ b/internal/notice/notice_test.go
@@ -0,0 +1,88 @@
+package notice
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// newTable returns a table whose time the test sets, and the only host's share.
+func newTable(now *time.Duration) *Table {
+	return &Table{Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return *now }, Phase: func() float64 { return 0 }}
+}
+
+func TestLimitEndsOnceAnswersStateNone(t *testing.T) {
+	now := time.Hour
+	table, server := newTable(&now), Server{ID: "s1", Service: "mill", StartedMS: 5}
+	assert.Equal(t, table.Wait("s1", false), time.Duration(0))
+	table.Heard(server, Statement{})
+	assert.Assert(t, !table.IsLimited("s1"))
+	table.Heard(server, Statement{Limit: 2})
+	assert.Assert(t, table.IsLimited("s1"))
+	now += time.Second
+	table.Heard(server, Statement{})
+	assert.Assert(t, table.IsLimited("s1"), "an answer of about the same time ends no limit")
+	now += endDelay
+	table.Heard(server, Statement{})
+	assert.Assert(t, !table.IsLimited("s1"))
+
+	table.Heard(server, Statement{Limit: 2})
+	table.Heard(Server{ID: "s1", StartedMS: 6}, Statement{})
+	assert.Assert(t, !table.IsLimited("s1"), "the next incarnation has stated nothing")
+}
+
+func TestSendsFollowTheLimit(t *testing.T) {
+	now := time.Hour
+	table := newTable(&now)
+	table.Heard(Server{ID: "s1"}, Statement{Limit: 2})
+	assert.Equal(t, table.Wait("s1", false), 500*time.Millisecond)
+	assert.Equal(t, table.Wait("s1", true), time.Duration(0), "a resumed run takes the next send in advance")
+	table.Sent("s1")
+	assert.Equal(t, table.Wait("s1", false), time.Second)
+	assert.Equal(t, table.Wait("s1", true), 500*time.Millisecond)
+	now += time.Second
+	assert.Equal(t, table.Wait("s1", false), time.Duration(0))
+	now += time.Minute
+	for range 2 {
+		assert.Equal(t, table.Wait("s1", false), time.Duration(0), "two sends may be saved")
+		table.Sent("s1")
+	}
+	assert.Assert(t, table.Wait("s1", false) > 0)
+}
+
+func TestHostsLearnLimitsFromOthers(t *testing.T) {
+	now, later := time.Hour, 9*time.Hour
+	first, second := newTable(&now), newTable(&later)
+	changes := 0
+	second.OnChange = func() { changes++ }
+	first.Heard(Server{ID: "s1", Service: "mill"}, Statement{Limit: 2})
+	now += 300 * time.Millisecond
+	second.Merge("h1", first.Report())
+	second.Merge("h1", first.Report())
+	assert.Assert(t, second.IsLimited("s1"))
+	assert.Equal(t, changes, 1)
+	for range 20 {
+		now, later = now+endDelay, later+endDelay
+		first.Merge("h2", second.Report())
+		second.Merge("h1", first.Report())
+	}
+	first.Heard(Server{ID: "s1", Service: "mill"}, Statement{})
+	second.Merge("h1", first.Report())
+	assert.Assert(t, !second.IsLimited("s1"), "the end is news to others")
+}
+
+func TestReportsAreBounded(t *testing.T) {
+	now := time.Hour
+	table := newTable(&now)
+	for i := range 2 * maxServers {
+		table.Heard(Server{ID: string(rune('A' + i))}, Statement{Limit: 1})
+	}
+	assert.Equal(t, len(table.servers), maxServers)
+	assert.Equal(t, len(table.Report()), MaxReported)
+	now += 2 * forgetAfter
+	assert.Equal(t, len(table.Report()), 0)
+	table.Merge("h1", []Report{{Server: "s1", Limit: -1}, {Limit: 1}, {Server: "s2", Limit: 1, LimitedAgeMS: 1 << 60, UnlimitedAgeMS: -1}})
+	assert.Assert(t, !table.IsLimited("s1") && !table.IsLimited("s2"))
+}
--- /dev/null
+++ b/internal/notice/split.go
@@ -0,0 +1,71 @@
+package notice
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// demandFactor is the demand of the hosts that share a limit, as a multiple of it: each then has a request whenever it may
+	// send one.
+	demandFactor = 4
+	// Where all hosts have less demand, a limit L is shared by at most hostsPerLimit x L + moreHosts of them: each may have saved
+	// one send, and these come at once when a crowd arrives.
+	hostsPerLimit = 2
+	moreHosts     = 3
+	// demandOvercommit and rankOvercommit make up for hosts that have no request at the moment at which they may send one, and for
+	// those that share a limit by their rank and have fewer requests than the mean.
+	demandOvercommit = 1.1
+	rankOvercommit   = 1.3
+)
+
+// maxHosts returns the number of hosts that may share a limit where there is little demand.
+func maxHosts(limit float64) int { return int(hostsPerLimit*limit) + moreHosts }
+
+// ShareByDemand returns the part of a limit, from 0 to 1, that a host may use, where each host knows the requests a second to the
+// service at all of them. Many hosts would each have less than one send in seconds, and their sum would be left to chance: in an
+// order that depends on the server, as many hosts share the limit as have enough requests for it.
+func ShareByDemand(server string, limit float64, self string, demand map[string]float64) float64 {
+	names := make([]string, 0, len(demand))
+	total := 0.0
+	for name, d := range demand {
+		if d > 0 {
+			names = append(names, name)
+			total += d
+		}
+	}
+	hash := func(name string) uint64 { return xxhash.Sum64String(server + "/" + name) }
+	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b)) })
+	if total < demandFactor*limit {
+		names = names[:min(len(names), maxHosts(limit))]
+	}
+	sum, isSharing := 0.0, false
+	for _, name := range names {
+		if sum >= demandFactor*limit {
+			break
+		}
+		sum += demand[name]
+		isSharing = isSharing || name == self
+	}
+	if !isSharing {
+		return 0
+	}
+	return min(1, demandOvercommit*demand[self]/sum)
+}
+
+// ShareByRank returns the part of a limit that a host may use, where each host knows only its rank among all hosts and the mean of
+// their requests a second to the service.
+func ShareByRank(server string, limit, meanDemand float64, rank, hosts int) float64 {
+	sharing := min(hosts, maxHosts(limit))
+	if needed := demandFactor * limit / meanDemand; needed <= float64(hosts) {
+		sharing = max(1, int(math.Ceil(needed)))
+	}
+	offset := int(xxhash.Sum64String(server) % uint64(hosts))
+	if (rank+offset)%hosts >= sharing {
+		return 0
+	}
+	return min(1, rankOvercommit/float64(sharing))
+}
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -14,6 +14,8 @@
 var (
 	// ErrNoServer is returned if no backend server is eligible.
 	ErrNoServer = errors.New("no eligible backend server")
+	// ErrLimited is returned if backend servers are eligible but take no more requests now. It is a *LimitedError.
+	ErrLimited = errors.New("backend servers take no more requests now")
 	// ErrBusy is returned if backend servers are eligible but all are above the limits of the request.
 	ErrBusy = errors.New("all eligible backend servers are above the limits")
 )
@@ -50,11 +52,25 @@
 const (
 	copyDomainCost = 0.2
 	copyJitter     = 0.05
+	// copyLimitedCost ranks a backend server that states a limit last: a run could be resumed there only within it.
+	copyLimitedCost = 2.0
 	// copyPendingCost is the cost of a millisecond of pending prefill, which doubles the time between the events of a run
 	// that is migrated there.
 	copyPendingCost = 0.002
 )
 
+// LimitedError is the error of a request for which all eligible backend servers have stated limits that are used up.
+type LimitedError struct {
+	// Wait is the time until one of them may receive a request from this host.
+	Wait time.Duration
+}
+
+// Error returns the text of ErrLimited.
+func (*LimitedError) Error() string { return ErrLimited.Error() }
+
+// Is reports whether the target is ErrLimited.
+func (*LimitedError) Is(target error) bool { return target == ErrLimited }
+
 // Requirements restricts the choice of a backend server and states the load that a request adds.
 type Requirements struct {
 	Service *policy.Service
@@ -87,7 +103,7 @@
 	claimedAt time.Time
 }
 
-// Choose claims the eligible backend server with the lowest cost for a run, or returns ErrNoServer.
+// Choose claims the eligible backend server with the lowest cost for a run, or returns ErrNoServer, ErrLimited or ErrBusy.
 func (p *Pool) Choose(a Requirements, now time.Time) (*Lease, error) {
 	l, err := p.choose(a, now)
 	if err == nil && p.OnClaim != nil {
@@ -99,8 +115,10 @@
 func (p *Pool) choose(a Requirements, now time.Time) (*Lease, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, fitting := p.cheapest(a, now)
+	best, fitting, wait := p.cheapest(a, now)
 	switch {
+	case best == nil && wait > 0:
+		return nil, &LimitedError{Wait: wait}
 	case best == nil:
 		return nil, ErrNoServer
 	case a.hasLimits() && fitting == nil && !best.isSuspect(now):
@@ -111,12 +129,14 @@
 	if best.isCold(now) {
 		best.coldSends = append(best.coldSends, now)
 	}
+	p.sent(best.ID)
 	return p.lease(best, Load{Runs: 1, Tokens: a.Tokens, PendingPromptTokens: a.Prompt}, now), nil
 }
 
 // cheapest returns the eligible backend server with the lowest cost, and one with a low cost among those within the limits
-// that did not fail recently; nil if there is none.
-func (p *Pool) cheapest(a Requirements, now time.Time) (best, fitting *entry) {
+// that did not fail recently; nil if there is none. Servers that take no request now are left out; wait is the time until one
+// of them does.
+func (p *Pool) cheapest(a Requirements, now time.Time) (best, fitting *entry, wait time.Duration) {
 	type candidate struct {
 		*entry
 
@@ -128,6 +148,12 @@
 		if !p.isEligible(e, a, now) {
 			continue
 		}
+		if w := p.wait(e.ID, false); w > 0 {
+			if wait == 0 || w < wait {
+				wait = w
+			}
+			continue
+		}
 		c := p.cost(e, a, now)
 		if c < lowest {
 			best, lowest = e, c
@@ -137,11 +163,11 @@
 		}
 	}
 	if len(candidates) == 0 {
-		return best, nil
+		return best, nil, wait
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	i := int(p.jitter() * min(float64(len(candidates)), p.spread(a)))
-	return best, candidates[min(i, len(candidates)-1)].entry
+	return best, candidates[min(i, len(candidates)-1)].entry, wait
 }
 
 // spread returns the number of backend servers that a choice is spread over. Hosts with the same old view would all choose
@@ -209,7 +235,7 @@
 	for _, e := range p.order {
 		// The link between regions is too slow to copy an engine's memory, and a copy that waits for it delays all
 		// other copies of its engine.
-		if !p.isEligible(e, a, now) || e.isSuspect(now) || e.Region != a.Source.Region || e.ID == a.Source.ID {
+		if !p.isEligible(e, a, now) || e.isSuspect(now) || e.Region != a.Source.Region || e.ID == a.Source.ID || p.wait(e.ID, false) > 0 {
 			continue
 		}
 		if c := p.copyCost(e, a, use); c < lowest && memoryUse(e, a) <= use.maxMemoryUse() {
@@ -222,7 +248,37 @@
 	return p.lease(best, Load{Tokens: a.Tokens}, now), nil
 }
 
-// Claim claims the given backend server for a run that is resumed there, or returns ErrNoServer if it is not available.
+// WaitToResume returns how long until a run may be resumed at a backend server that states a limit; 0 if it may be now.
+func (p *Pool) WaitToResume(id string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.wait(id, true)
+}
+
+// wait returns how long until one more request may be sent to a backend server; the caller holds the lock.
+func (p *Pool) wait(id string, isResumed bool) time.Duration {
+	if p.Limiter == nil {
+		return 0
+	}
+	return p.Limiter.Wait(id, isResumed)
+}
+
+// Sent records a request to a backend server that was not chosen for it by the pool, such as one for a copy of a run.
+func (p *Pool) Sent(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent(id)
+}
+
+// sent records a request to a backend server; the caller holds the lock.
+func (p *Pool) sent(id string) {
+	if p.Limiter != nil {
+		p.Limiter.Sent(id)
+	}
+}
+
+// Claim claims the given backend server for a run that is resumed there. It returns ErrNoServer if it is not available, and
+// ErrLimited if it takes no more requests now.
 func (p *Pool) Claim(id string, tokens int, now time.Time) (*Lease, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -230,6 +286,10 @@
 	if e == nil || !p.isAvailable(e, now) {
 		return nil, ErrNoServer
 	}
+	if wait := p.wait(id, true); wait > 0 {
+		return nil, &LimitedError{Wait: wait}
+	}
+	p.sent(id)
 	return p.lease(e, Load{Runs: 1, Tokens: tokens}, now), nil
 }
 
@@ -299,6 +359,9 @@
 // half the time, and for migrations the pending prefills.
 func (p *Pool) copyCost(e *entry, a Requirements, use Purpose) float64 {
 	c := memoryUse(e, a) + copyJitter*p.jitter()
+	if p.Limiter != nil && p.Limiter.IsLimited(e.ID) {
+		c += copyLimitedCost
+	}
 	if e.Domain != a.Source.Domain {
 		c += copyDomainCost
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -17,8 +17,18 @@
 	failureWeight = 0.1
 )
 
-// Pool is the table of backend servers. It is safe for concurrent use. Its methods call ColdShare and Jitter with the lock
-// held, so these must not call the pool.
+// Limiter bounds the requests to backend servers that state how many they take.
+type Limiter interface {
+	// Wait returns how long until this host may send one more request to a backend server; 0 if it may send one now.
+	Wait(server string, isResumed bool) time.Duration
+	// IsLimited reports whether a backend server states a limit.
+	IsLimited(server string) bool
+	// Sent records a request that is sent to a backend server.
+	Sent(server string)
+}
+
+// Pool is the table of backend servers. It is safe for concurrent use. Its methods call ColdShare, Limiter and Jitter with the
+// lock held, so these must not call the pool.
 type Pool struct {
 	// Domain and Region are the failure domain and region of this host.
 	Domain string
@@ -26,6 +36,8 @@
 	// ColdShare returns this host's share of the rate limit of a cold backend server, in sends a second; nil means all
 	// of it.
 	ColdShare func(server string, perSecond float64) float64
+	// Limiter bounds the requests to backend servers; nil means no bound.
+	Limiter Limiter
 	// OnClaim is called after each successful Choose; may be nil.
 	OnClaim func()
 	// Unseen returns the expected number of claims by other hosts for a service that their loads don't include yet; nil means
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -151,7 +151,7 @@
 
 func newNotices(log *slog.Logger) *notice.Table { return &notice.Table{Log: log} }
 
-func newGossip(s config.Settings, st *platform.Store, p *pool.Pool, t *crash.Table, w *queue.Queue, log *slog.Logger) *gossip.Gossip {
+func newGossip(s config.Settings, st *platform.Store, p *pool.Pool, t *crash.Table, n *notice.Table, w *queue.Queue, log *slog.Logger) *gossip.Gossip {
 	g := gossip.New()
 	g.Self, g.Domain, g.Region, g.Address, g.Cores = s.Host, s.Domain, s.Region, s.Peers, s.Platform.Cores
 	g.Queue, w.Remote = w, g
@@ -160,17 +160,19 @@
 		g.Seeds = append(g.Seeds, netip.AddrPortFrom(seed.Addr(), s.Peers.Port()))
 	}
 	p.OnClaim, p.Unseen = g.BroadcastNow, g.Unseen
-	t.OnChange = g.BroadcastNow
+	g.Notices, p.Limiter = n, n
+	t.OnChange, n.OnChange = g.BroadcastNow, g.BroadcastNow
 	p.ColdShare = func(server string, perSecond float64) float64 { return g.ColdShare(server, coldOvercommit*perSecond) }
 	return g
 }
 
-func newBudget(s config.Settings, g *gossip.Gossip) *budget.Shared {
+func newBudget(s config.Settings, g *gossip.Gossip, n *notice.Table) *budget.Shared {
 	b := &budget.Shared{
 		Ratio: s.Platform.RetryRatio, Extra: s.Platform.RetryExtra, Window: time.Duration(s.Platform.RetryWindow),
 		Hosts: g.Hosts, RemoteCounts: g.Sends, Now: ticks.Now,
 	}
 	g.Budget = b
+	n.Share = g.LimitShare
 	return b
 }
 
