--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -48,6 +48,8 @@
 	// copyRefusals lists the backend servers at which a copy failed; hasNoCopyTarget is set while no other one is eligible.
 	copyRefusals    []string
 	hasNoCopyTarget bool
+	// contentType is the type that the caller received; an answer of another type that ends without an event continues nothing.
+	contentType string
 	// lastNumber is the number of the last forwarded event.
 	lastNumber int
 	started    bool
@@ -149,6 +151,8 @@
 // handleItem forwards an item of the current upstream; it reports whether the stream is complete.
 func (s *session) handleItem(p streamItem) (bool, error) {
 	switch {
+	case errors.Is(p.err, io.EOF) && s.started && !s.current.hasEvent && s.current.header.Get("Content-Type") != s.contentType:
+		return false, s.resume(errors.New("an answer that is no stream came in its place"))
 	case errors.Is(p.err, io.EOF):
 		if !s.started {
 			s.writeHead(s.current.status, s.current.header)
@@ -171,6 +175,7 @@
 
 // forward writes an event to the caller unless it was already forwarded.
 func (s *session) forward(from *upstream, p streamItem) error {
+	from.hasEvent = true
 	if s.lastNumber != noEvent && p.number <= s.lastNumber {
 		return nil
 	}
@@ -179,6 +184,7 @@
 	}
 	if !s.started {
 		s.started = true
+		s.contentType = from.header.Get("Content-Type")
 		s.guarded.Answered()
 		from.lease.PrefillDone(time.Now())
 		s.Queue.Started(s.service.Name)
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -35,6 +35,8 @@
 	header http.Header
 	status int
 	items  chan streamItem
+	// hasEvent is set by the session once it has received an event.
+	hasEvent bool
 	// standby is the run's copy at another backend server; nil without one.
 	standby *standby
 	cancel  context.CancelFunc
