--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -105,6 +105,10 @@
 		case errors.Is(err, mirror.ErrNotReading):
 			next, pause = revision, readerPollInterval
 			f.Log.Debug("no host reads the store for this one", "kind", f.Kind, "revision", revision)
+		case errors.Is(err, mirror.ErrUnreadable):
+			// The same changes would come again; a full list may be shorter and is read without them.
+			next, pause = 0, retries.NextBackOff()
+			f.Log.Warn("store's answer can't be read", "kind", f.Kind, "revision", revision, "error", err, "retry_in", pause)
 		case err != nil:
 			next, pause = revision, retries.NextBackOff()
 			f.Log.Info("store call failed", "kind", f.Kind, "revision", revision, "error", err, "retry_in", pause)
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -45,6 +45,7 @@
 		{"a store that returns without waiting", nil, 12},
 		{"a store that fails", errors.New("down"), 12},
 		{"a store whose history is gone each time", mirror.ErrHistoryGone, 40},
+		{"a store whose changes can't be read", mirror.ErrUnreadable, 12},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -88,6 +89,18 @@
 }
 
 // peerSource is a Source that fails until another host reads the store.
+// TestFollowerListsWhenChangesCannotBeRead checks that the same unreadable changes are not read for ever.
+func TestFollowerListsWhenChangesCannotBeRead(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	src, health := &source{err: mirror.ErrUnreadable}, &Health{Log: log}
+	f := &Follower[string]{Kind: "k", Source: src, Sink: sink{}, Wait: time.Minute, Health: health, Log: log}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*outageThreshold)
+	defer cancel()
+	assert.NilError(t, f.Run(ctx))
+	assert.Assert(t, src.lists.Load() >= 2, src.lists.Load())
+	assert.Assert(t, !health.IsUnreachable(), "the store answers")
+}
+
 type peerSource struct {
 	reads atomic.Bool
 	calls atomic.Int32
