--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -15,7 +15,7 @@
 // limitAll makes all servers state a limit and the host learn it.
 func limitAll(t *testing.T, r *rig, path, limit string) {
 	t.Helper()
-	r.Pool.Limiter = r.notices
+	r.Pool.Notices = r.notices
 	for _, e := range r.engines {
 		e.State("Server-Limit: " + limit + "\r\n")
 	}
@@ -26,7 +26,7 @@
 
 func TestRequestBeyondAllLimitsIsRefusedAtOnce(t *testing.T) {
 	r := newRig(t, 2)
-	r.Pool.Limiter = r.notices
+	r.Pool.Notices = r.notices
 	r.engines[1].State("Server-Limit: 0.2\r\n")
 	assert.Equal(t, r.do(t, callerRequest{path: "/book/x", key: "k1"}).status, http.StatusOK)
 	var refused reply
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -16,8 +16,10 @@
 	// endDelay is the time between the last answer with a limit and one without, after which the limit has ended: answers of
 	// the same moment may arrive in any order, and a server may state it in some of them only.
 	endDelay = 2 * time.Second
-	// forgetAfter is how long a state without news is kept: the server has ended or gets no requests.
-	forgetAfter = time.Minute
+	// forgetAfter is how long a state without news is kept: the server has ended or gets no requests. forgetLeavingAfter is the
+	// same for one that leaves, which gets none.
+	forgetAfter        = time.Minute
+	forgetLeavingAfter = 10 * time.Minute
 	// minLimit is the lowest limit in requests a second that is kept to: at none, no answer could end it.
 	minLimit = 0.05
 	// maxServers bounds the backend servers with a state.
@@ -28,6 +30,8 @@
 type Statement struct {
 	// Limit is the number of requests a second that the server takes from all hosts together; 0 if it states none.
 	Limit float64
+	// IsLeaving reports that the server will end; new requests should go to others.
+	IsLeaving bool
 }
 
 // Server identifies a backend server and its incarnation.
@@ -66,6 +70,8 @@
 	limit       float64
 	limitedAt   time.Duration
 	unlimitedAt time.Duration
+	// leavingAt is when the server first stated that it leaves; that lasts for the incarnation.
+	leavingAt time.Duration
 	// tokens are the sends that this host may make, as of accruedAt.
 	tokens    float64
 	accruedAt time.Duration
@@ -78,7 +84,15 @@
 func (s *state) isLimited() bool { return s.limitedAt > 0 && s.unlimitedAt-s.limitedAt < endDelay }
 
 // newsAt returns the time of the latest answer that counts.
-func (s *state) newsAt() time.Duration { return max(s.limitedAt, s.unlimitedAt) }
+func (s *state) newsAt() time.Duration { return max(s.limitedAt, s.unlimitedAt, s.leavingAt) }
+
+// isOutdated reports whether nothing has been heard of the server for so long that it can be forgotten.
+func (s *state) isOutdated(now time.Duration) bool {
+	if s.leavingAt > 0 {
+		return now-s.newsAt() > forgetLeavingAfter
+	}
+	return now-s.newsAt() > forgetAfter
+}
 
 // Heard records what an answer of a backend server states.
 func (t *Table) Heard(server Server, st Statement) {
@@ -99,8 +113,12 @@
 	} else {
 		s.unlimitedAt = now
 	}
-	isChanged := before != s.isLimited() || s.isLimited() && s.limit != limit
+	version := t.version
 	t.logLimit(s, before, limit, "")
+	if st.IsLeaving {
+		t.leaves(s, now, "")
+	}
+	isChanged := t.version != version
 	t.mu.Unlock()
 	if isChanged && t.OnChange != nil {
 		t.OnChange()
@@ -122,6 +140,27 @@
 	}
 }
 
+// leaves records and logs that a server leaves; the caller holds the lock.
+func (t *Table) leaves(s *state, at time.Duration, host string) {
+	if s.leavingAt > 0 {
+		return
+	}
+	s.leavingAt = at
+	t.version++
+	t.Log.Info("backend server states that it leaves", "server", s.ID, "service", s.Service, "host", host)
+}
+
+// IsLeaving reports whether a backend server's incarnation has stated that it leaves.
+func (t *Table) IsLeaving(server string, startedMS int64) bool {
+	if t.count.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[server]
+	return s != nil && s.leavingAt > 0 && s.StartedMS >= startedMS
+}
+
 // state returns the state of a server's incarnation, nil if there is none and it is not to be made; the caller holds the lock.
 func (t *Table) state(server Server, mustExist bool, now time.Duration) *state {
 	s := t.servers[server.ID]
@@ -154,7 +193,7 @@
 // expire drops states without news; the caller holds the lock.
 func (t *Table) expire(now time.Duration) {
 	for id, s := range t.servers {
-		if now-s.newsAt() > forgetAfter {
+		if s.isOutdated(now) {
 			t.drop(id)
 		}
 	}
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -83,6 +83,23 @@
 	assert.Equal(t, len(table.Report()), MaxReported)
 	now += 2 * forgetAfter
 	assert.Equal(t, len(table.Report()), 0)
-	table.Merge("h1", []Report{{Server: "s1", Limit: -1}, {Limit: 1}, {Server: "s2", Limit: 1, LimitedAgeMS: 1 << 60, UnlimitedAgeMS: -1}})
+	table.Merge("h1", []Report{{Server: "s1", Limit: -1}, {Limit: 1}, {Server: "s2", Limit: 1, LimitedAgeMS: 1 << 60, UnlimitedAgeMS: -1, LeavingAgeMS: -1}})
 	assert.Assert(t, !table.IsLimited("s1") && !table.IsLimited("s2"))
 }
+
+func TestLeavingLastsForTheIncarnation(t *testing.T) {
+	now, later := time.Hour, 9*time.Hour
+	table, other := newTable(&now), newTable(&later)
+	server := Server{ID: "s1", Service: "mill", StartedMS: 5}
+	table.Heard(server, Statement{IsLeaving: true})
+	table.Heard(server, Statement{})
+	now += 5 * time.Second
+	assert.Assert(t, table.IsLeaving("s1", 5), "a server may state it in some answers only")
+	assert.Assert(t, !table.IsLeaving("s1", 6), "the next incarnation has stated nothing")
+	other.Merge("h1", table.Report())
+	assert.Assert(t, other.IsLeaving("s1", 5))
+	other.Heard(Server{ID: "s1", StartedMS: 6}, Statement{Limit: 1})
+	other.Merge("h1", table.Report())
+	assert.Assert(t, !other.IsLeaving("s1", 6), "older reports don't count")
+	assert.Equal(t, table.Wait("s1", false), time.Duration(0))
+}
--- a/internal/notice/share.go
+++ b/internal/notice/share.go
@@ -28,6 +28,7 @@
 	Limit          float64
 	LimitedAgeMS   int64
 	UnlimitedAgeMS int64
+	LeavingAgeMS   int64
 }
 
 // Report returns what the other hosts should know, at most MaxReported servers, those with the latest news first.
@@ -41,7 +42,7 @@
 	t.expire(now)
 	var due []*state
 	for _, s := range t.servers {
-		if s.isLimited() || now-s.newsAt() < endedReported {
+		if s.isLimited() || s.leavingAt > 0 || now-s.newsAt() < endedReported {
 			due = append(due, s)
 		}
 	}
@@ -52,7 +53,7 @@
 	for _, s := range due[:min(len(due), MaxReported)] {
 		all = append(all, Report{
 			Server: s.ID, Service: s.Service, StartedMS: s.StartedMS, Limit: s.limit,
-			LimitedAgeMS: ageMS(s.limitedAt, now), UnlimitedAgeMS: ageMS(s.unlimitedAt, now),
+			LimitedAgeMS: ageMS(s.limitedAt, now), UnlimitedAgeMS: ageMS(s.unlimitedAt, now), LeavingAgeMS: ageMS(s.leavingAt, now),
 		})
 	}
 	return all
@@ -67,7 +68,7 @@
 	now := t.now()
 	version := t.version
 	for _, r := range reports[:min(len(reports), MaxReported)] {
-		if r.Server == "" || len(r.Server) > maxIDBytes || len(r.Service) > maxIDBytes || !(r.Limit >= minLimit) {
+		if r.Server == "" || len(r.Server) > maxIDBytes || len(r.Service) > maxIDBytes || !(r.Limit >= 0) {
 			continue
 		}
 		s := t.state(Server{ID: r.Server, Service: r.Service, StartedMS: r.StartedMS}, true, now)
@@ -75,9 +76,12 @@
 			continue
 		}
 		before, limit := s.isLimited(), s.limit
-		if at := timeOf(r.LimitedAgeMS, now); at > s.limitedAt+mergeTolerance || s.limitedAt == 0 {
+		if at := timeOf(r.LimitedAgeMS, now); r.Limit >= minLimit && (at > s.limitedAt+mergeTolerance || s.limitedAt == 0) {
 			s.limit, s.limitedAt = r.Limit, at
 		}
+		if at := timeOf(r.LeavingAgeMS, now); at > 0 {
+			t.leaves(s, at, host)
+		}
 		if at := timeOf(r.UnlimitedAgeMS, now); at > s.unlimitedAt+mergeTolerance {
 			s.unlimitedAt = at
 		}
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -257,10 +257,10 @@
 
 // wait returns how long until one more request may be sent to a backend server; the caller holds the lock.
 func (p *Pool) wait(id string, isResumed bool) time.Duration {
-	if p.Limiter == nil {
+	if p.Notices == nil {
 		return 0
 	}
-	return p.Limiter.Wait(id, isResumed)
+	return p.Notices.Wait(id, isResumed)
 }
 
 // Sent records a request to a backend server that was not chosen for it by the pool, such as one for a copy of a run.
@@ -272,8 +272,8 @@
 
 // sent records a request to a backend server; the caller holds the lock.
 func (p *Pool) sent(id string) {
-	if p.Limiter != nil {
-		p.Limiter.Sent(id)
+	if p.Notices != nil {
+		p.Notices.Sent(id)
 	}
 }
 
@@ -359,7 +359,7 @@
 // half the time, and for migrations the pending prefills.
 func (p *Pool) copyCost(e *entry, a Requirements, use Purpose) float64 {
 	c := memoryUse(e, a) + copyJitter*p.jitter()
-	if p.Limiter != nil && p.Limiter.IsLimited(e.ID) {
+	if p.Notices != nil && p.Notices.IsLimited(e.ID) {
 		c += copyLimitedCost
 	}
 	if e.Domain != a.Source.Domain {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -17,8 +18,10 @@
 	failureWeight = 0.1
 )
 
-// Limiter bounds the requests to backend servers that state how many they take.
-type Limiter interface {
+// Notices is what backend servers state of themselves: that they leave, and how many requests they take.
+type Notices interface {
+	// IsLeaving reports whether a backend server's incarnation states that it leaves.
+	IsLeaving(server string, startedMS int64) bool
 	// Wait returns how long until this host may send one more request to a backend server; 0 if it may send one now.
 	Wait(server string, isResumed bool) time.Duration
 	// IsLimited reports whether a backend server states a limit.
@@ -27,7 +30,7 @@
 	Sent(server string)
 }
 
-// Pool is the table of backend servers. It is safe for concurrent use. Its methods call ColdShare, Limiter and Jitter with the
+// Pool is the table of backend servers. It is safe for concurrent use. Its methods call ColdShare, Notices and Jitter with the
 // lock held, so these must not call the pool.
 type Pool struct {
 	// Domain and Region are the failure domain and region of this host.
@@ -36,8 +39,8 @@
 	// ColdShare returns this host's share of the rate limit of a cold backend server, in sends a second; nil means all
 	// of it.
 	ColdShare func(server string, perSecond float64) float64
-	// Limiter bounds the requests to backend servers; nil means no bound.
-	Limiter Limiter
+	// Notices is what backend servers state of themselves; nil means nothing.
+	Notices Notices
 	// OnClaim is called after each successful Choose; may be nil.
 	OnClaim func()
 	// Unseen returns the expected number of claims by other hosts for a service that their loads don't include yet; nil means
@@ -226,7 +229,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.servers[id]
-	return e == nil || e.Draining
+	return e == nil || p.isLeaving(e)
+}
+
+// isLeaving reports whether a backend server leaves, by its entry or its own answers; the caller holds the lock.
+func (p *Pool) isLeaving(e *entry) bool {
+	return e.Draining || p.Notices != nil && p.Notices.IsLeaving(e.ID, e.StartedMS)
+}
+
+// ServerAt returns the backend server at an address.
+func (p *Pool) ServerAt(address netip.AddrPort) (Server, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.order {
+		if e.Address == address {
+			return e.Server, true
+		}
+	}
+	return Server{}, false
 }
 
 // IsRemovalPending reports whether a backend server's entry vanished during a store outage and is to be removed later.
@@ -263,7 +283,7 @@
 	if !e.removeAt.IsZero() && !now.Before(e.removeAt) {
 		return false
 	}
-	return !e.Draining && !p.evacuated[e.Domain]
+	return !p.isLeaving(e) && !p.evacuated[e.Domain]
 }
 
 func (p *Pool) jitter() float64 {
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -160,7 +160,7 @@
 		g.Seeds = append(g.Seeds, netip.AddrPortFrom(seed.Addr(), s.Peers.Port()))
 	}
 	p.OnClaim, p.Unseen = g.BroadcastNow, g.Unseen
-	g.Notices, p.Limiter = n, n
+	g.Notices, p.Notices = n, n
 	t.OnChange, n.OnChange = g.BroadcastNow, g.BroadcastNow
 	p.ColdShare = func(server string, perSecond float64) float64 { return g.ColdShare(server, coldOvercommit*perSecond) }
 	return g
@@ -181,13 +181,22 @@
 func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, w *queue.Queue, t *crash.Table, n *notice.Table, g *gossip.Gossip, syncStatus *watch.SyncStatus, m *metric.Front, log *slog.Logger) *front.Front {
 	f := &front.Front{
 		RoutingState: front.RoutingState{Tables: h, Pool: p},
-		HeaderCodec:  platform.HeaderCodec{}, Copies: platform.Engines{},
+		HeaderCodec:  platform.HeaderCodec{}, Copies: platform.Engines{Heard: heardAt(p, n)},
 		Store: storeState{g, syncStatus}, Budget: b, Queue: w, Guard: t, Notices: n, Meter: m, Log: log,
 	}
 	f.SetMaxKeyAge(keyAge(s))
 	return f
 }
 
+// heardAt returns a function that records what the backend server at an address states.
+func heardAt(p *pool.Pool, n *notice.Table) func(netip.AddrPort, notice.Statement) {
+	return func(at netip.AddrPort, states notice.Statement) {
+		if s, found := p.ServerAt(at); found {
+			n.Heard(notice.Server{ID: s.ID, Service: s.Service, StartedMS: s.StartedMS}, states)
+		}
+	}
+}
+
 // keyAge returns the age of the table at which keys are refused.
 func keyAge(s config.Settings) time.Duration {
 	return time.Duration(keyAgeFraction * float64(s.Platform.KeyAge))
