--- a/internal/notice/limit.go
+++ b/internal/notice/limit.go
@@ -21,8 +21,8 @@
 	makeUpShare = 0.02
 )
 
-// Wait returns how long until this host may send one more request to a backend server; 0 if it may send one now. A run that is
-// resumed there may take the next send in advance.
+// Wait returns how long until this host may send one more request to a backend server, by its limit and the pause that it wants; 0
+// if it may send one now. A run that is resumed there may take the next send in advance, and one may be within a pause.
 func (t *Table) Wait(server string, isResumed bool) time.Duration {
 	if t.count.Load() == 0 {
 		return 0
@@ -30,7 +30,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[server]
-	if s == nil || !s.isLimited() {
+	if s == nil {
+		return 0
+	}
+	return max(s.waitForPause(isResumed, t.now()), t.waitForLimit(s, isResumed))
+}
+
+// waitForLimit returns how long until the server's limit allows one more request from this host; the caller holds the lock.
+func (t *Table) waitForLimit(s *state, isResumed bool) time.Duration {
+	if !s.isLimited() {
 		return 0
 	}
 	rate := t.accrue(s)
@@ -66,10 +74,17 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.servers[server]; s != nil && s.isLimited() {
+	s := t.servers[server]
+	if s == nil {
+		return
+	}
+	if s.isLimited() {
 		t.accrue(s)
 		s.tokens--
 	}
+	if t.now() < s.pausedUntil {
+		s.hasSentInPause = true
+	}
 }
 
 // accrue adds the sends that have become due since the last call and returns their rate a second; the caller holds the lock.
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -32,6 +32,8 @@
 	Limit float64
 	// IsLeaving reports that the server will end; new requests should go to others.
 	IsLeaving bool
+	// Pause is the time for which the server wants nothing from the host that it answers; 0 if it states none.
+	Pause time.Duration
 }
 
 // Server identifies a backend server and its incarnation.
@@ -72,6 +74,10 @@
 	unlimitedAt time.Duration
 	// leavingAt is when the server first stated that it leaves; that lasts for the incarnation.
 	leavingAt time.Duration
+	// pausedUntil is until when the server wants nothing from this host; hasSentInPause is set once it got a request that could
+	// not wait.
+	pausedUntil    time.Duration
+	hasSentInPause bool
 	// tokens are the sends that this host may make, as of accruedAt.
 	tokens    float64
 	accruedAt time.Duration
@@ -84,7 +90,9 @@
 func (s *state) isLimited() bool { return s.limitedAt > 0 && s.unlimitedAt-s.limitedAt < endDelay }
 
 // newsAt returns the time of the latest answer that counts.
-func (s *state) newsAt() time.Duration { return max(s.limitedAt, s.unlimitedAt, s.leavingAt) }
+func (s *state) newsAt() time.Duration {
+	return max(s.limitedAt, s.unlimitedAt, s.leavingAt, s.pausedUntil)
+}
 
 // isOutdated reports whether nothing has been heard of the server for so long that it can be forgotten.
 func (s *state) isOutdated(now time.Duration) bool {
@@ -118,6 +126,7 @@
 	if st.IsLeaving {
 		t.leaves(s, now, "")
 	}
+	t.pause(s, st.Pause, now)
 	isChanged := t.version != version
 	t.mu.Unlock()
 	if isChanged && t.OnChange != nil {
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -103,3 +103,26 @@
 	assert.Assert(t, !other.IsLeaving("s1", 6), "older reports don't count")
 	assert.Equal(t, table.Wait("s1", false), time.Duration(0))
 }
+
+func TestPausesAreKept(t *testing.T) {
+	now := time.Hour
+	table, server := newTable(&now), Server{ID: "s1", StartedMS: 5}
+	table.Heard(server, Statement{Pause: 10 * time.Second})
+	table.Heard(server, Statement{Pause: time.Second})
+	table.Heard(server, Statement{})
+	now += 2 * time.Second
+	assert.Equal(t, table.Wait("s1", false), 8*time.Second)
+	assert.Equal(t, table.Wait("s1", true), time.Duration(0), "one run may be resumed")
+	table.Sent("s1")
+	assert.Equal(t, table.Wait("s1", true), 8*time.Second)
+	now += 8 * time.Second
+	assert.Equal(t, table.Wait("s1", false), time.Duration(0))
+	table.Heard(server, Statement{Pause: 10 * time.Second})
+	assert.Equal(t, len(table.Report()[0].Server), 2)
+	other := newTable(&now)
+	other.Merge("h1", table.Report())
+	assert.Equal(t, other.Wait("s1", false), time.Duration(0), "a pause concerns the host that was told")
+	table.Heard(Server{ID: "s1", StartedMS: 6}, Statement{Limit: 100})
+	now += time.Second
+	assert.Equal(t, table.Wait("s1", false), time.Duration(0), "the next incarnation has asked for none")
+}
