--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -161,6 +161,16 @@
 	}
 }
 
+// wasDisturbed reports whether a fault affected a host between two moments.
+func (d *disturbances) wasDisturbed(host int, from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.spans, func(one *span) bool {
+		affects := one.host == host || one.host == allHosts
+		return affects && !one.start.After(to) && (one.end.IsZero() || one.end.After(from))
+	})
+}
+
 // isInTouch reports whether nothing disturbed a host within contactTime before a moment.
 func (d *disturbances) isInTouch(host int, at time.Time) bool {
 	d.mu.Lock()
--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -47,6 +47,16 @@
 	}
 }
 
+// TestServersGetWhatTheyState has a seed on which servers got more than they stated before hosts read it.
+func TestServersGetWhatTheyState(t *testing.T) {
+	var out bytes.Buffer
+	s := &Soak{
+		Seed: 1, Duration: 4 * time.Second, Recovery: 14 * time.Second, HasStatements: true, Hosts: 3, Engines: 8, Callers: 12,
+		Binary: buildBinary(t), Out: &out,
+	}
+	assert.NilError(t, s.Run(t.Context()), out.String())
+}
+
 // TestDeadlyPartStopsReachingEngines has a seed on which one part of a prompt went on crashing engines.
 func TestDeadlyPartStopsReachingEngines(t *testing.T) {
 	var out bytes.Buffer
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -39,6 +39,8 @@
 	Recovery time.Duration
 	// DeadlyRatio is the fraction of reports whose prompts hold a part that crashes engines.
 	DeadlyRatio float64
+	// HasStatements makes servers state a limit and that they leave, and another writer leave an odd entry among theirs.
+	HasStatements bool
 	// Hosts, Engines and Callers are the numbers of entry hosts, backend servers and callers.
 	Hosts, Engines, Callers int
 	// Binary is the path of the program that runs as an entry host.
@@ -52,6 +54,7 @@
 	serverProxies []*proxy
 	recorder      recorder
 	crasher       crasher
+	stater        stater
 	disturbances  disturbances
 }
 
@@ -78,11 +81,19 @@
 			c.run(runCtx)
 		}()
 	}
+	stated := make(chan struct{})
+	go func() {
+		defer close(stated)
+		if s.HasStatements {
+			s.state(runCtx)
+		}
+	}()
 	s.injectFaults(runCtx)
 	s.undoAllFaults()
 	s.recorder.startRecovery()
 	<-runCtx.Done()
 	callers.Wait()
+	<-stated
 	s.crasher.restarts.Wait()
 	return s.checkGuarantees()
 }
@@ -140,6 +151,9 @@
 	if s.DeadlyRatio > 0 {
 		violations = append(violations, s.checkDeadlyPart()...)
 	}
+	if s.HasStatements {
+		violations = append(violations, s.checkStated()...)
+	}
 	fmt.Fprintf(s.Out, "seed %d: %s, %d guarantees violated\n", s.Seed, s.recorder.summary(), len(violations))
 	for _, b := range violations {
 		fmt.Fprintln(s.Out, "  ", b)
