--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -90,6 +90,8 @@
 	// MaxReaderDelay bounds how long a call for ReaderKind to another host may last beyond its wait while bytes arrive; 0 means
 	// no bound.
 	MaxReaderDelay time.Duration
+	// MaxPause bounds the pause after calls to the store that failed; 0 means 4 s.
+	MaxPause time.Duration
 	Log            *slog.Logger
 
 	mu    sync.Mutex
@@ -116,7 +118,7 @@
 	brokenDuration = 300 * time.Millisecond
 	// maxCallingHostsPerSecond bounds how many hosts call a failing store in one second.
 	maxCallingHostsPerSecond = 15
-	// maxPause bounds the backoff of one host from a failing store.
+	// maxPause is the default of Mirror.MaxPause.
 	maxPause = 4 * time.Second
 	// minCallTime is the time that a call to the store has beyond its wait.
 	minCallTime = 300 * time.Millisecond
@@ -156,7 +158,11 @@
 	if m.Readers.IsPreferredReader() {
 		return false
 	}
-	pause := min(maxPause, time.Duration(m.Readers.Hosts())*time.Second/maxCallingHostsPerSecond)
+	longest := maxPause
+	if m.MaxPause > 0 {
+		longest = m.MaxPause
+	}
+	pause := min(longest, time.Duration(m.Readers.Hosts())*time.Second/maxCallingHostsPerSecond)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.lastFailure.Sub(m.firstFailure) < brokenDuration {
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -42,6 +42,10 @@
 	tableSlackPart  = 0.3
 	readerDelayPart = 0.2
 	readerAgePart   = 0.6
+	// storePausePart is the same for the pause after calls to the store that failed, and maxStorePause bounds it where the time is
+	// long: all hosts share the store's rate.
+	storePausePart = 0.6
+	maxStorePause  = 4 * time.Second
 	// maxReaderAge bounds that age where the time is long.
 	maxReaderAge = 2500 * time.Millisecond
 	// serversWait is the wait of one call for changed backend servers and failure domains. It bounds the age at which a
@@ -223,6 +227,7 @@
 func boundTableAge(s config.Settings, m *mirror.Mirror) {
 	m.MaxReaderAge = min(maxReaderAge, applyPart(s, readerAgePart))
 	m.MaxReaderDelay = applyPart(s, readerDelayPart)
+	m.MaxPause = min(maxStorePause, applyPart(s, storePausePart))
 }
 
 func newTables(s config.Settings, m *mirror.Mirror, h *policy.Holder, health *watch.Health, g *gossip.Gossip, log *slog.Logger) *watch.Follower[*policy.Table] {
--- a/internal/site/intime_test.go
+++ b/internal/site/intime_test.go
@@ -260,6 +260,11 @@
 			r.store.PutText("servers", "odd", nested())
 		}},
 		{"a call to the store fails once, no reader", 83, false, grown, func(r *tableRig) { r.store.CloseClientConnections() }},
+		{"calls to the store have failed for a second, no reader", 83, false, grown, func(r *tableRig) {
+			r.store.SetOutage(plat.Busy)
+			time.Sleep(time.Second)
+			r.store.SetOutage(plat.Up)
+		}},
 		{"the reader loses the store", 7, true, small, func(r *tableRig) { r.toStore.isCut.Store(true) }},
 		{"the reader loses the store while the other host's call waits", 7, true, small, func(r *tableRig) {
 			time.Sleep(400 * time.Millisecond)
