--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -157,7 +157,7 @@
 		if !s.started {
 			s.writeHead(s.current.status, s.current.header)
 		}
-		s.current.lease.RecordAnswer(false)
+		s.current.lease.RecordAnswer(false, time.Now())
 		if sb := s.current.standby; sb != nil && sb.copiedAt.IsZero() {
 			sb.releaseClaim()
 			s.current.standby = nil
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -86,7 +86,7 @@
 	q.tried = append(q.tried, lease.Server.ID)
 	answer, err := q.exchange(ctx, lease, q.forwardMetadata(lease.Server.ID))
 	if errors.Is(err, errNotRun) {
-		lease.RecordAnswer(true)
+		lease.RecordAnswer(true, time.Now())
 	}
 	if err != nil {
 		return nil, err
@@ -106,7 +106,7 @@
 		buffered := q.buffered.Add(n)
 		switch {
 		case errors.Is(err, io.EOF):
-			lease.RecordAnswer(answer.Status >= http.StatusInternalServerError)
+			lease.RecordAnswer(answer.Status >= http.StatusInternalServerError, time.Now())
 			q.guarded.Answered()
 			return &fullAnswer{status: answer.Status, header: answer.Header, body: body.Bytes(), server: lease.Server.ID}, nil
 		case err != nil && ctx.Err() == nil:
@@ -115,7 +115,7 @@
 			err = errors.Newf("answer exceeds %d bytes, or all answers in progress exceed %d", maxAnswerBytes, maxBufferedBytes)
 		}
 		if err != nil {
-			lease.RecordAnswer(true)
+			lease.RecordAnswer(true, time.Now())
 			return nil, errors.Mark(errors.Wrapf(err, "read %d bytes of an answer", body.Len()), send.ErrBroken)
 		}
 	}
@@ -139,7 +139,7 @@
 	}
 	q.countRun()
 	if err := q.checkReply(answer, reply); err != nil {
-		lease.RecordAnswer(true)
+		lease.RecordAnswer(true, time.Now())
 		answer.Close()
 		return nil, err
 	}
@@ -160,7 +160,7 @@
 		return err
 	}
 	if errors.Is(err, send.ErrInvalidAnswer) {
-		lease.RecordAnswer(true)
+		lease.RecordAnswer(true, time.Now())
 	} else {
 		lease.RecordConnectionFailure(time.Now())
 	}
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -324,7 +324,7 @@
 }
 
 func (p *Pool) cost(e *entry, a Requirements, now time.Time) float64 {
-	c := p.jitter()*jitterCost + e.failureRate*failureCost
+	c := p.jitter()*jitterCost + e.failureRateAt(now)*failureCost
 	l := e.load()
 	if engine := a.Service.Engine; engine != nil {
 		c += milliseconds(p.prefillTime(a.Service.Name, l.PendingPromptTokens)) + runCost*float64(l.Runs)
@@ -405,7 +405,7 @@
 }
 
 // RecordAnswer records an answer and whether it was a failure of the backend server, which is no longer suspect.
-func (l *Lease) RecordAnswer(failed bool) {
+func (l *Lease) RecordAnswer(failed bool, now time.Time) {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	e := l.entry
@@ -415,7 +415,7 @@
 	if failed {
 		outcome = 1
 	}
-	e.failureRate += failureWeight * (outcome - e.failureRate)
+	e.recordOutcome(outcome, now)
 }
 
 // RecordConnectionFailure records that the backend server could not be reached or broke a connection, and makes it
@@ -427,5 +427,5 @@
 	pause := min(maxSuspectTime, minSuspectTime<<min(e.consecutiveFailures, 8))
 	e.consecutiveFailures++
 	e.suspectUntil = now.Add(pause)
-	e.failureRate += failureWeight * (1 - e.failureRate)
+	e.recordOutcome(1, now)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -16,6 +16,8 @@
 	maxSuspectTime = 4 * time.Second
 	// failureWeight is the weight of the newest outcome in the failure rate.
 	failureWeight = 0.1
+	// failureHalfLife is the time in which the failure rate of a server without requests falls to a half.
+	failureHalfLife = 5 * time.Second
 )
 
 // Notices is what backend servers state of themselves: that they leave, and how many requests they take.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -240,3 +240,27 @@
 	}
 	assert.DeepEqual(t, loads, map[string]Load{"a": {Runs: 3, Tokens: 30}, "b": {}})
 }
+
+// TestServerThatFailedGetsRequestsAgain checks a server that nobody asks while others have room, since only answers would show that
+// it has recovered.
+func TestServerThatFailedGetsRequestsAgain(t *testing.T) {
+	now := time.Unix(100, 0)
+	p := newPool(server("a", "d1", "east"), server("b", "d1", "east"))
+	for range 10 {
+		l, err := p.Claim("a", 0, now)
+		assert.NilError(t, err)
+		l.Release()
+		l.RecordAnswer(true, now)
+	}
+	service := &policy.Service{Name: "model"}
+	chosen := func(at time.Time) string {
+		l, err := p.Choose(Requirements{Service: service}, at)
+		assert.NilError(t, err)
+		return l.Server.ID
+	}
+	for range 8 {
+		assert.Equal(t, chosen(now), "b")
+	}
+	assert.Equal(t, chosen(now), "b", "all slots are in use there, and the other one fails two of three")
+	assert.Equal(t, chosen(now.Add(time.Minute)), "a")
+}
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -2,6 +2,7 @@
 package pool
 
 import (
+	"math"
 	"net/netip"
 	"time"
 )
@@ -50,12 +51,28 @@
 	// consecutiveFailures counts connection failures in a row; until suspectUntil the backend server is chosen last.
 	consecutiveFailures int
 	suspectUntil        time.Time
-	// failureRate is the moving average of failed requests, from 0 to 1.
+	// failureRate is the moving average of failed requests, from 0 to 1, as of outcomeAt.
 	failureRate float64
+	outcomeAt   time.Time
 	// coldSends are the times of this host's sends within the last second, while the backend server is cold.
 	coldSends []time.Time
 }
 
+// failureRateAt returns the failure rate at a time. It falls while there are no outcomes: a server that gets no requests because it
+// has failed must get some again.
+func (e *entry) failureRateAt(now time.Time) float64 {
+	if e.failureRate == 0 {
+		return 0
+	}
+	return e.failureRate * math.Exp2(-max(0, now.Sub(e.outcomeAt).Seconds())/failureHalfLife.Seconds())
+}
+
+// recordOutcome adds the outcome of a request, 1 for a failure and 0 for an answer.
+func (e *entry) recordOutcome(outcome float64, now time.Time) {
+	rate := e.failureRateAt(now)
+	e.failureRate, e.outcomeAt = rate+failureWeight*(outcome-rate), now
+}
+
 func (e *entry) isCold(now time.Time) bool { return now.Before(e.coldUntil) }
 
 func (e *entry) isSuspect(now time.Time) bool { return now.Before(e.suspectUntil) }
