--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -126,7 +126,7 @@
 // findNotice returns the first of the lines between two times that reports a backend server as draining or gone.
 func findNotice(lines []Line, server string, from, to time.Time) (Line, bool) {
 	for _, l := range lines {
-		isNotice := l.Message == "backend server gone" || l.Fields["draining"] == "true"
+		isNotice := l.Message == "backend server gone" || l.Message == "backend server states that it leaves" || l.Fields["draining"] == "true"
 		if isNotice && l.Fields["server"] == server && l.At.After(from) && l.At.Before(to) {
 			return l, true
 		}
--- a/internal/cause/line.go
+++ b/internal/cause/line.go
@@ -31,7 +31,8 @@
 	switch message {
 	case "backend server changed", "backend server gone", "store lost", "store regained", "reading host lost", "host silent",
 		"host heard again", "host stops", "host serves", "table in force", "failure domains out", "log lines dropped",
-		"key quarantined":
+		"key quarantined", "backend server states a limit", "backend server's limit ended", "backend server wants no requests",
+		"backend server states that it leaves":
 		return true
 	default:
 		return false
--- a/internal/cause/outcomes.go
+++ b/internal/cause/outcomes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -142,6 +143,9 @@
 
 // explainOverload explains a refusal by the queue of the request's host.
 func (q *analysis) explainOverload(message string) string {
+	if l, ok := q.lastLine("request beyond the servers' limits"); ok {
+		return q.explainStatements(l, message)
+	}
 	l, ok := q.lastLine("wait ended")
 	if !ok {
 		return message
@@ -150,6 +154,36 @@
 		message, l.Fields["waited"], l.Fields["waiting"], l.Fields["arrivals_per_s"], l.Fields["starts_per_s"], l.Fields["retry_after"])
 }
 
+// explainStatements explains a refusal because of what the servers of the request's service have stated of themselves.
+func (q *analysis) explainStatements(refused Line, message string) string {
+	stated := make(map[string]Line)
+	for _, l := range q.hostLines {
+		if l.Fields["service"] != refused.Fields["service"] || l.At.After(refused.At) {
+			continue
+		}
+		switch l.Message {
+		case "backend server states a limit", "backend server wants no requests", "backend server states that it leaves":
+			stated[l.Fields["server"]] = l
+		case "backend server's limit ended":
+			delete(stated, l.Fields["server"])
+		}
+	}
+	var said []string
+	for _, server := range slices.Sorted(maps.Keys(stated)) {
+		l := stated[server]
+		q.addEvidence(l)
+		what := "leaves"
+		switch {
+		case l.Fields["per_s"] != "":
+			what = "takes " + l.Fields["per_s"] + " a second from all hosts"
+		case l.Fields["for"] != "":
+			what = "wants nothing for " + l.Fields["for"]
+		}
+		said = append(said, server+" "+what)
+	}
+	return fmt.Sprintf("%s: %s; the next send from this host was due after %s", message, strings.Join(said, ", "), refused.Fields["wait"])
+}
+
 func (q *analysis) explainNoBackend(end Line, message string) string {
 	if refused, ok := q.lastLine("request quarantined"); ok {
 		return q.explainQuarantine(refused, message)
--- a/internal/notice/limit.go
+++ b/internal/notice/limit.go
@@ -66,6 +66,19 @@
 	return s != nil && s.isLimited()
 }
 
+// Limited returns the number of backend servers that state a limit or want no requests from this host.
+func (t *Table) Limited() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.servers {
+		if s.isLimited() || t.now() < s.pausedUntil {
+			n++
+		}
+	}
+	return n
+}
+
 // Sent records a request that this host sends to a backend server. Those that can't wait are recorded too, so that later ones wait
 // for longer.
 func (t *Table) Sent(server string) {
--- a/internal/site/gauges.go
+++ b/internal/site/gauges.go
@@ -55,6 +55,9 @@
 		{"quarantined_keys", "Parts of prompts, and requests, that are refused because backend servers crash under them.", func() float64 {
 			return float64(s.Gossip.Crashes.Quarantined())
 		}},
+		{"limited_servers", "Backend servers that state a limit or want no requests from this host.", func() float64 {
+			return float64(s.Gossip.Notices.Limited())
+		}},
 		{"hosts_heard", "Hosts heard lately, this one included.", func() float64 { return float64(s.Gossip.LiveCount()) }},
 		{"reads_for_others", "1 while this host reads the store for its region.", func() float64 {
 			if _, otherReads := s.Gossip.Reader(); otherReads || !s.Gossip.IsReading() {
