--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/tally"
 )
@@ -29,8 +30,18 @@
 	return crashes
 }
 
+// fullNotices returns as many statements of backend servers as a host reports, with the longest names.
+func fullNotices() []notice.Report {
+	notices := make([]notice.Report, notice.MaxReported)
+	for i := range notices {
+		name := fmt.Sprintf("%064d", i)
+		notices[i] = notice.Report{Server: name, Service: name, StartedMS: time.Now().UnixMilli(), Limit: 1.0 / 3, LimitedAgeMS: 1 << 20, UnlimitedAgeMS: 1 << 20, LeavingAgeMS: 1 << 20}
+	}
+	return notices
+}
+
 func TestDigestWithEvidenceFitsADatagram(t *testing.T) {
-	d := Digest{Host: "edge-failure-domain-0-host-000", Crashes: fullReport()}
+	d := Digest{Host: "edge-failure-domain-0-host-000", Crashes: fullReport(), Notices: fullNotices()}
 	for i := range 250 {
 		d.Loads = append(d.Loads, ServerLoad{Server: fmt.Sprintf("i-%010x", i), Runs: 20, Tokens: 300000, Pending: 90000})
 	}
@@ -39,7 +50,7 @@
 	assert.Assert(t, len(payload) <= maxDatagram, "%d bytes", len(payload))
 	var m message
 	assert.NilError(t, cbor.Unmarshal(payload, &m))
-	assert.Assert(t, len(m.Digest.Loads) == len(d.Loads) && len(m.Digest.Crashes) > 0)
+	assert.Assert(t, len(m.Digest.Loads) == len(d.Loads) && len(m.Digest.Crashes) > 0 && len(m.Digest.Notices) > 0)
 }
 
 func TestSummariesFitADatagram(t *testing.T) {
@@ -63,19 +74,20 @@
 	g.others = others
 	crashes := fullReport()
 	g.ticks = memberPeriods - 1
-	parcels := g.parcels(others, g.reportingHosts(now), evidence{crashes: crashes}, now)
+	parcels := g.parcels(others, g.reportingHosts(now), evidence{crashes, fullNotices()}, now)
 	assert.Assert(t, len(parcels) > 0)
-	reported, members := 0, 0
+	reported, members, notices := 0, 0, 0
 	for _, p := range parcels {
 		reported += len(p.summary.Crashes)
 		members += len(p.summary.Members)
+		notices += len(p.summary.Notices)
 		encoded, err := cbor.Marshal(p.summary)
 		assert.NilError(t, err)
 		payload, err := cbor.Marshal(message{Summary: encoded, Incarnation: now.UnixMilli(), Included: 1 << 40, Rank: 999})
 		assert.NilError(t, err)
 		assert.Assert(t, len(payload) <= maxDatagram, "%d bytes", len(payload))
 	}
-	assert.Assert(t, reported > 0 && members > 0)
+	assert.Assert(t, reported > 0 && members > 0 && notices > 0)
 }
 
 // TestHostsFromTheStoreAreCompletedByIntroductions checks that hosts known by address only can become relays.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -81,14 +81,18 @@
 	}
 }
 
-// encodeDigest encodes a digest with as much evidence of crashes as fits.
+// encodeDigest encodes a digest with as much evidence of crashes, and as many statements of backend servers, as fit.
 func encodeDigest(d Digest) ([]byte, error) {
 	for {
 		payload, err := cbor.Marshal(message{Digest: &d})
-		if err != nil || len(payload) <= maxDatagram || len(d.Crashes) == 0 {
+		if err != nil || len(payload) <= maxDatagram || len(d.Crashes)+len(d.Notices) == 0 {
 			return payload, err
 		}
-		d.Crashes = d.Crashes[:len(d.Crashes)/2]
+		if len(d.Crashes) > len(d.Notices)/2 {
+			d.Crashes = d.Crashes[:len(d.Crashes)/2]
+		} else {
+			d.Notices = d.Notices[:len(d.Notices)/2]
+		}
 	}
 }
 
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -182,9 +182,15 @@
 		all = append(all, parcel{s, to})
 		s.Services, s.Members, s.HasCounts = nil, nil, false
 	}
-	if len(e.crashes)+len(e.notices) > 0 {
+	s.Loads = nil
+	if len(e.crashes) > 0 {
 		g.sequence++
-		s.Sequence, s.Loads, s.Crashes, s.Notices = g.sequence, nil, e.crashes, e.notices
+		s.Sequence, s.Crashes = g.sequence, e.crashes
+		all = append(all, parcel{s, to})
+	}
+	if len(e.notices) > 0 {
+		g.sequence++
+		s.Sequence, s.Crashes, s.Notices = g.sequence, nil, e.notices
 		all = append(all, parcel{s, to})
 	}
 	return all
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -92,7 +92,7 @@
 	MaxReaderDelay time.Duration
 	// MaxPause bounds the pause after calls to the store that failed; 0 means 4 s.
 	MaxPause time.Duration
-	Log            *slog.Logger
+	Log      *slog.Logger
 
 	mu    sync.Mutex
 	kinds map[string]*cache
