--- a/internal/mirror/crowd_test.go
+++ b/internal/mirror/crowd_test.go
@@ -249,6 +249,30 @@
 	assert.NilError(t, <-ended)
 }
 
+// TestLargeTableOfARegionsHostsFitsTheReadersLink checks a table of 300 routes that changes twelve times a second, which each host of
+// a deployment of 83 reads from its region's reader.
+func TestLargeTableOfARegionsHostsFitsTheReadersLink(t *testing.T) {
+	const hosts, changes = 41, 12
+	var table []byte
+	for i := range 300 {
+		table = fmt.Appendf(table, `{"name":"r-%06x","host":"h%d.example","pathPrefix":"/p%d/","routeKind":"idempotent","timeoutMs":%d,"targetLatencyMs":200,`+
+			`"priority":3,"maxAttempts":2,"service":"huvo11a","public":false,"sticky":false,"allowedRegions":[]},`, i*7919%(1<<24), i%7, i*31%997, 1500+i)
+	}
+	store := &fakeStore{batch: Batch{Revision: 10, Changed: []Document{{Name: "main", Revision: 9, Body: table}}}}
+	reader := newMirror(store, &fakeReaders{})
+	_, err := reader.List(t.Context(), "config")
+	assert.NilError(t, err)
+	p := startPipe(t, serve(t, reader).Address)
+	link := &Link{}
+	t.Cleanup(link.Close)
+	b, err := link.Read(t.Context(), Host{Name: "reader", Address: p.address}, question{kind: "config"})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, b.Changed, store.batch.Changed)
+	share := float64(p.bytes.Load()*hosts*changes) / crowdLink
+	assert.Assert(t, share < 0.5, "a table of %d bytes takes %d bytes for each host and %.2f of the link", len(table), p.bytes.Load(), share)
+	t.Logf("a table of %d bytes takes %d bytes for each host and %.2f of the link", len(table), p.bytes.Load(), share)
+}
+
 func TestListsOfARegionsHostsFitTheReadersLink(t *testing.T) {
 	p := startCrowdReader(t)
 	link := &Link{}
--- a/internal/mirror/link.go
+++ b/internal/mirror/link.go
@@ -165,7 +165,7 @@
 		return nil, err
 	}
 	reply := &mirpb.ReadReply{Revision: b.Revision, AgeUs: b.Age.Microseconds()}
-	if in.GetAcceptsPacked() && len(b.Changed)+len(b.Removed) >= minPackedDocuments {
+	if in.GetAcceptsPacked() && b.isWorthPacking() {
 		reply.Packed, err = c.pack(b, in.GetSince())
 		return reply, err
 	}
--- a/internal/mirror/pack.go
+++ b/internal/mirror/pack.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// minPackedDocuments is the number of documents and removals from which a batch is packed.
+	// minPackedDocuments is the number of documents and removals, and minPackedBytes the size, from which a batch is packed.
 	minPackedDocuments = 32
+	minPackedBytes     = 8 << 10
 	// maxPackedBatches is the number of packed batches that a cache keeps. Hosts that follow the store closely read from
 	// the same few revisions.
 	maxPackedBatches = 4
@@ -22,6 +23,15 @@
 	maxUnpackedBytes = 64 << 20
 )
 
+// isWorthPacking reports whether a batch is large.
+func (b Batch) isWorthPacking() bool {
+	size := 0
+	for _, d := range b.Changed {
+		size += len(d.Body)
+	}
+	return size >= minPackedBytes || len(b.Changed)+len(b.Removed) >= minPackedDocuments
+}
+
 // packedBatch is a batch that is encoded and compressed by the first caller and shared by all others.
 type packedBatch struct {
 	revision, since int64
