--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -48,7 +48,7 @@
 type Table struct {
 	// Share returns the part of a backend server's limit, from 0 to 1, that this host may use; nil means all of it.
 	Share func(server, service string, limit float64) float64
-	// OnChange is called after a statement that other hosts should learn at once; may be nil.
+	// OnChange is called after a change that is to be broadcast without delay; may be nil.
 	OnChange func()
 	// Now returns the time of a monotonic clock; nil means that of package ticks.
 	Now func() time.Duration
--- a/internal/notice/share.go
+++ b/internal/notice/share.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// Version returns a number that grows with each change that other hosts should learn at once.
+// Version returns a number that grows with each change that is to be broadcast without delay.
 func (t *Table) Version() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/notice/split.go
+++ b/internal/notice/split.go
@@ -13,33 +13,43 @@
 	// send one.
 	demandFactor = 4
 	// Where all hosts have less demand, a limit L is shared by at most hostsPerLimit x L + moreHosts of them: each may have saved
-	// one send, and these come at once when a crowd arrives.
+	// one send, and all of these are sent together when a crowd arrives.
 	hostsPerLimit = 2
 	moreHosts     = 3
 	// demandOvercommit and rankOvercommit make up for hosts that have no request at the moment at which they may send one, and for
 	// those that share a limit by their rank and have fewer requests than the mean.
 	demandOvercommit = 1.1
 	rankOvercommit   = 1.3
+	// idleShare is what hosts without requests share beyond the others' parts.
+	idleShare = 1.0
 )
 
 // maxHosts returns the number of hosts that may share a limit where there is little demand.
 func maxHosts(limit float64) int { return int(hostsPerLimit*limit) + moreHosts }
 
 // ShareByDemand returns the part of a limit, from 0 to 1, that a host may use, where each host knows the requests a second to the
-// service at all of them. Many hosts would each have less than one send in seconds, and their sum would be left to chance: in an
-// order that depends on the server, as many hosts share the limit as have enough requests for it.
+// service at all live ones, which may be 0. Many hosts would each have less than one send in seconds, and their sum would be left to
+// chance: in an order that depends on the server, as many hosts share the limit as have enough requests for it. Where there is little
+// demand, hosts without requests share it too, so that their first ones are served.
 func ShareByDemand(server string, limit float64, self string, demand map[string]float64) float64 {
 	names := make([]string, 0, len(demand))
 	total := 0.0
 	for name, d := range demand {
-		if d > 0 {
-			names = append(names, name)
-			total += d
-		}
+		names = append(names, name)
+		total += d
 	}
 	hash := func(name string) uint64 { return xxhash.Sum64String(server + "/" + name) }
-	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b)) })
-	if total < demandFactor*limit {
+	isIdle := func(name string) int {
+		if demand[name] > 0 {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(isIdle(a), isIdle(b)), cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b))
+	})
+	isLow := total < demandFactor*limit
+	if isLow {
 		names = names[:min(len(names), maxHosts(limit))]
 	}
 	sum, isSharing := 0.0, false
@@ -50,10 +60,14 @@
 		sum += demand[name]
 		isSharing = isSharing || name == self
 	}
-	if !isSharing {
+	switch {
+	case !isSharing:
 		return 0
+	case isLow:
+		return min(1, max(demandOvercommit*demand[self]/max(sum, math.SmallestNonzeroFloat64), idleShare/float64(len(names))))
+	default:
+		return min(1, demandOvercommit*demand[self]/sum)
 	}
-	return min(1, demandOvercommit*demand[self]/sum)
 }
 
 // ShareByRank returns the part of a limit that a host may use, where each host knows only its rank among all hosts and the mean of
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -263,7 +263,7 @@
 	return p.Notices.Wait(id, isResumed)
 }
 
-// Sent records a request to a backend server that was not chosen for it by the pool, such as one for a copy of a run.
+// Sent records a request to a backend server that neither Choose nor Claim has recorded, such as one for a copy of a run.
 func (p *Pool) Sent(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/stating.go
+++ b/internal/soak/stating.go
@@ -18,7 +18,7 @@
 	// statedLimit is the limit that a server states, in requests a second, limitWindow the window in which requests count.
 	statedLimit = 2.5
 	limitWindow = 4 * time.Second
-	// drainTimeout is the time after which a host that has received a server's word that it leaves must send it nothing more.
+	// drainTimeout is the time after which a host must send nothing more to a server that has stated that it leaves.
 	drainTimeout = 2500 * time.Millisecond
 	// nestedDepth is the depth of an entry that another writer leaves among those of the servers.
 	nestedDepth = 20000
@@ -96,7 +96,8 @@
 	return most
 }
 
-// checkLeaving checks the requests of hosts that were told that a server leaves and have been undisturbed since.
+// checkLeaving checks that a leaving server gets no late requests from hosts that no fault has affected since its first statement to
+// them.
 func (s *Soak) checkLeaving(e *plat.Server, hosts map[string]int) []string {
 	told := make(map[int]time.Time)
 	late := 0
