--- a/internal/notice/hosts_test.go
+++ b/internal/notice/hosts_test.go
@@ -187,6 +187,13 @@
 			}
 		}, 0.9},
 		{"little demand at 7 hosts", 7, 5, 0.7, nil, 0.9},
+		{"demand below the limit at 7 hosts", 7, 40, 30, nil, 0.9},
+		{"a crowd at 7 hosts with a high limit", 7, 40, 0.7, func(s *hostsSim) {
+			s.run(3 * contact)
+			for _, h := range s.hosts {
+				h.demand = 30
+			}
+		}, 0.5},
 		{"a third of 83 hosts die", 83, 3, 140, func(s *hostsSim) {
 			s.run(contact)
 			for i := range s.hosts {
--- a/internal/notice/limit.go
+++ b/internal/notice/limit.go
@@ -5,7 +5,7 @@
 const (
 	// A host may save the sends of tokenTime, and up to maxTokens where all hosts together save no more than savedPerLimit times the
 	// limit and moreSaved: it has no request at the moment at which it may send one.
-	tokenTime     = 250 * time.Millisecond
+	tokenTime     = 500 * time.Millisecond
 	maxTokens     = 2.0
 	savedPerLimit = 2
 	moreSaved     = 4
