--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -57,3 +57,29 @@
 	after := len(r.engines[1].Requests()) + len(r.engines[3].Requests())
 	assert.Assert(t, time.Since(began) < 2*time.Second && after-before <= 4, "%d requests reached servers that take one in ten seconds", after-before)
 }
+
+// TestPlainRequestsWaitForTheNextSend checks requests that find no send at their host for a moment.
+func TestPlainRequestsWaitForTheNextSend(t *testing.T) {
+	r := newRig(t, 2)
+	next := table()
+	next.Version = 2
+	for _, path := range []string{"/book/x", "/read/x"} {
+		next.Match("h.example", path).LatencyTarget = 400 * time.Millisecond
+	}
+	r.Tables.PutIfNewer(next)
+	limitAll(t, r, "/book/x", "10")
+	for range 8 {
+		assert.Equal(t, r.do(t, callerRequest{path: "/book/x", key: "k1"}).status, http.StatusOK)
+	}
+	for _, e := range r.engines {
+		e.State("Server-Limit: 1\r\n")
+	}
+	refused := 0
+	began := time.Now()
+	for range 8 {
+		if r.do(t, callerRequest{path: "/read/x", key: "k1"}).status == http.StatusTooManyRequests {
+			refused++
+		}
+	}
+	assert.Assert(t, refused >= 5 && time.Since(began) < 2*time.Second, "%d refused, %s", refused, time.Since(began))
+}
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -15,6 +15,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/queue"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
 	"github.com/tarragonspur/tarragonspur/internal/send"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 const (
@@ -75,7 +76,7 @@
 
 // attempt sends the request to one backend server and reads the complete answer.
 func (q *request) attempt(ctx context.Context) (*fullAnswer, error) {
-	lease, err := q.Pool.Choose(q.requirements(), time.Now())
+	lease, err := q.chooseWithinLimits(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -95,6 +96,19 @@
 	return q.readAnswer(ctx, lease, answer)
 }
 
+// chooseWithinLimits claims a backend server. Where all have stated limits that are used up, it waits for the next send of this host if
+// that leaves half of the route's latency target.
+func (q *request) chooseWithinLimits(ctx context.Context) (*pool.Lease, error) {
+	end := q.arrived.Add(q.route.LatencyTarget / 2)
+	for {
+		lease, err := q.Pool.Choose(q.requirements(), time.Now())
+		var limited *pool.LimitedError
+		if !errors.As(err, &limited) || time.Now().Add(limited.Wait).After(end) || !ticks.Sleep(ctx, limited.Wait) {
+			return lease, err
+		}
+	}
+}
+
 // readAnswer reads the body of an answer and records the outcome in the lease. A backend server may crash within an answer.
 func (q *request) readAnswer(ctx context.Context, lease *pool.Lease, answer *send.Answer) (*fullAnswer, error) {
 	held := int64(0)
