--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -78,3 +78,14 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.text, fullStream(60))
 }
+
+// TestAnotherInstanceSpeaksOfItself checks answers of a server that has got the address of another one.
+func TestAnotherInstanceSpeaksOfItself(t *testing.T) {
+	for _, headers := range []string{"", "Instance-Id: other\r\n"} {
+		r := newRig(t, 2)
+		r.Pool.Notices = r.notices
+		r.engines[1].Script = answering(false, http.StatusMisdirectedRequest, "", leaving+"Server-Limit: 0.1\r\n"+headers, nil)
+		r.do(t, callerRequest{path: "/read/x", key: "k1"})
+		assert.Assert(t, !r.notices.IsLeaving(r.engines[1].ID, 0) && !r.notices.IsLimited(r.engines[1].ID))
+	}
+}
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -143,7 +143,8 @@
 		return nil, q.handleSendError(ctx, lease, err)
 	}
 	reply := q.HeaderCodec.Reply(answer.Status, answer.Header)
-	if s := lease.Server; reply.Instance == "" || reply.Instance == s.ID {
+	if s := lease.Server; reply.Instance == s.ID || reply.Instance == "" && answer.Status != http.StatusMisdirectedRequest {
+		// Another instance that has the server's address now speaks of itself.
 		q.Notices.Heard(notice.Server{ID: s.ID, Service: s.Service, StartedMS: s.StartedMS}, reply.States)
 	}
 	if reply.IsNotRun && q.isOwn(reply) {
