--- a/internal/front/errors_test.go
+++ b/internal/front/errors_test.go
@@ -57,6 +57,9 @@
 				runs += e.Runs()
 			}
 			assert.Equal(t, runs, tc.runs)
+			// Calls that free copies may still come.
+			mu.Lock()
+			defer mu.Unlock()
 			for _, n := range connections {
 				assert.Equal(t, n, 1, "each connection takes one request, so nothing earlier can arrive on it")
 			}
