--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -37,6 +37,8 @@
 	startedAt time.Time
 	// termAt is when the running process got SIGTERM; zero if it did not.
 	termAt time.Time
+	// overLimit is when the platform killed the process over its memory limit.
+	overLimit []time.Time
 	// isReady and misses are what the platform's readiness checks have seen.
 	isReady    bool
 	misses     int
