--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -118,3 +118,9 @@
 		}
 	}
 }
+
+// copyAll reads the whole body.
+func copyAll(to io.Writer, resp *http.Response) (int64, error) {
+	defer func() { _ = resp.Body.Close() }()
+	return io.Copy(to, resp.Body)
+}
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -40,15 +40,18 @@
 	deadlyPart string
 	// afterFirstEvent delays the crash until the answer's first event has been written.
 	afterFirstEvent bool
+	// limit is what the server states in Server-Limit; empty for nothing.
+	limit string
 	// downtime is the time from a crash to the next start.
 	downtime time.Duration
 
-	mu       sync.Mutex
-	id       string
-	born     int64
-	listener net.Listener
-	conns    map[net.Conn]bool
-	http     *http.Server
+	mu        sync.Mutex
+	id        string
+	born      int64
+	isLeaving bool
+	listener  net.Listener
+	conns     map[net.Conn]bool
+	http      *http.Server
 }
 
 // start opens the listener and registers the server; each start is a new lifetime.
@@ -59,7 +62,7 @@
 		s.mu.Unlock()
 		return err
 	}
-	s.id, s.born, s.listener, s.conns = id, time.Now().UnixMilli(), l, make(map[net.Conn]bool)
+	s.id, s.born, s.isLeaving, s.listener, s.conns = id, time.Now().UnixMilli(), false, l, make(map[net.Conn]bool)
 	conns := s.conns
 	h := &http.Server{Handler: http.HandlerFunc(s.serve), ConnState: func(c net.Conn, state http.ConnState) {
 		s.mu.Lock()
@@ -80,14 +83,34 @@
 // register writes the server's entry.
 func (s *server) register() {
 	s.mu.Lock()
-	id, born := s.id, s.born
+	id, born, state := s.id, s.born, "healthy"
+	if s.isLeaving {
+		state = "draining"
+	}
 	s.mu.Unlock()
 	s.rig.store.put("servers", id, map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": "healthy",
+		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": state,
 		"coldRemainingMs": 0, "sequence": 1, "born": born,
 	})
 }
 
+// leave reports draining; the server goes on with what it has.
+func (s *server) leave() {
+	s.mu.Lock()
+	s.isLeaving = true
+	s.mu.Unlock()
+	s.register()
+	s.rig.log("server %s reports that it is draining", s.id)
+}
+
+// state makes the server state a limit in all its answers from now on.
+func (s *server) state(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+	s.rig.log("server %s states Server-Limit: %s from now on", s.id, limit)
+}
+
 // stop closes the listener and resets all connections.
 func (s *server) stop() {
 	s.mu.Lock()
@@ -129,8 +152,13 @@
 	if err != nil {
 		return
 	}
+	if strings.HasPrefix(r.URL.Path, "/tarragonspur/") {
+		// No engine has room for a copy.
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	s.mu.Lock()
-	id := s.id
+	id, isLeaving, limit := s.id, s.isLeaving, s.limit
 	s.mu.Unlock()
 	a := &arrival{server: id, attempt: r.Header.Get("Attempt-Id"), path: r.URL.Path, at: time.Now()}
 	expected := r.Header.Get("Expected-Instance")
@@ -139,10 +167,22 @@
 	h := w.Header()
 	h.Set("Instance-Id", id)
 	h.Set("Attempt-Id", a.attempt)
+	if isLeaving {
+		h.Set("Server-Leaving", "1")
+	}
+	if limit != "" {
+		h.Set("Server-Limit", limit)
+	}
 	if a.isMisdirected {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.Header.Get("Kv-From") != "" {
+		// No engine had room for a copy, so that none exists.
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if r.Header.Get("Token-Usage") != "" {
 		s.rig.ended(a, s.stream(w, r, a))
 	} else {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -25,6 +25,8 @@
 	servers []*server
 	// isQuiet is set when the record needs no line for each arrival.
 	isQuiet bool
+	// moves is what the manifest says of copies of runs between engines, on order and standing.
+	moves bool
 
 	mu       sync.Mutex
 	lastID   uint64
@@ -231,7 +233,7 @@
 // putTable writes the first manifest.
 func (r *rig) putTable() {
 	engine := map[string]any{
-		"slots": 32, "kvCapacityTokens": 34297, "kvTokenBytes": 262144, "linkCapacityMbps": 38000.0, "moves": false, "backups": false,
+		"slots": 32, "kvCapacityTokens": 34297, "kvTokenBytes": 262144, "linkCapacityMbps": 38000.0, "moves": r.moves, "backups": r.moves,
 		"stride": 4, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleTtlS": 5.0, "models": []any{map[string]any{"name": "m"}},
 	}
 	r.store.put("config", "main", map[string]any{
