--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -45,9 +45,13 @@
 // place returns the hosts of a small deployment: 3 in trent-mill, 2 in soar-lab, 2 in severn-yard.
 func place() []hostSpec {
 	return []hostSpec{
-		{"trent-mill", "midlands-east", 0.4}, {"trent-mill", "midlands-east", 0.4}, {"trent-mill", "midlands-east", 0.4},
-		{"soar-lab", "midlands-east", 0.4}, {"soar-lab", "midlands-east", 0.4},
-		{"severn-yard", "midlands-west", 0.4}, {"severn-yard", "midlands-west", 0.4},
+		{"trent-mill", "midlands-east", 0.4},
+		{"trent-mill", "midlands-east", 0.4},
+		{"trent-mill", "midlands-east", 0.4},
+		{"soar-lab", "midlands-east", 0.4},
+		{"soar-lab", "midlands-east", 0.4},
+		{"severn-yard", "midlands-west", 0.4},
+		{"severn-yard", "midlands-west", 0.4},
 	}
 }
 
@@ -239,17 +243,25 @@
 	r.store.put("config", "main", map[string]any{
 		"version": 3,
 		"routes": []any{
-			map[string]any{"name": "r-report", "host": hostName, "pathPrefix": reportPath, "routeKind": "streaming", "timeoutMs": 39000,
+			map[string]any{
+				"name": "r-report", "host": hostName, "pathPrefix": reportPath, "routeKind": "streaming", "timeoutMs": 39000,
 				"targetLatencyMs": 1800, "priority": 1, "service": "assay-model", "maxAttempts": 1, "public": false, "sticky": true,
-				"resumable": false, "itlTargetMs": 180, "allowedRegions": []string{}},
-			map[string]any{"name": "r-booking", "host": hostName, "pathPrefix": bookingPath, "routeKind": "non_idempotent", "timeoutMs": 2000,
-				"targetLatencyMs": 250, "priority": 2, "service": "millbook", "maxAttempts": 1, "public": false, "allowedRegions": []string{}},
+				"resumable": false, "itlTargetMs": 180, "allowedRegions": []string{},
+			},
+			map[string]any{
+				"name": "r-booking", "host": hostName, "pathPrefix": bookingPath, "routeKind": "non_idempotent", "timeoutMs": 2000,
+				"targetLatencyMs": 250, "priority": 2, "service": "millbook", "maxAttempts": 1, "public": false, "allowedRegions": []string{},
+			},
 		},
 		"services": []any{
-			map[string]any{"name": "assay-model", "healthPath": "/healthz", "maxConnections": 302, "protocol": "h1", "tls": false,
-				"coldStartS": 1.0, "coldPerS": 39.0, "engine": engine},
-			map[string]any{"name": "millbook", "healthPath": "/healthz", "maxConnections": 100, "protocol": "h1", "tls": false,
-				"coldStartS": 0.0, "coldPerS": 0.0},
+			map[string]any{
+				"name": "assay-model", "healthPath": "/healthz", "maxConnections": 302, "protocol": "h1", "tls": false,
+				"coldStartS": 1.0, "coldPerS": 39.0, "engine": engine,
+			},
+			map[string]any{
+				"name": "millbook", "healthPath": "/healthz", "maxConnections": 100, "protocol": "h1", "tls": false,
+				"coldStartS": 0.0, "coldPerS": 0.0,
+			},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "mill", "apiKeys": []string{apiKey}, "priority": 1, "allowedRegions": []string{}}},
