--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start. Needs only the standard library.
 set -euo pipefail
 cd "$(dirname "$0")"
-go build -o bin/rig ./rig
+go build -o bin/rig ./fakes/rig
