fix(front): a stopping host takes no request that it may have to cut

Cause: request.stopsTooSoon went by the caller's estimate of the output.

Change: what counts is what the host knows of the longest time: the time limit, or the maximum output at the route's latency targets. Plain requests are exempt while callers can't avoid the host yet. Reaches the queue too, which checks again at each attempt.

TestStoppingHostRefusesWhatItCouldNotFinish expected a refusal with 3 s left of a request whose caller waits 2 s; that request can't be cut by the stop. It now has 1.9 s left, which is as strict: less than the request's time limit.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,10 +32,6 @@
 	defaultTimeout = 60 * time.Second
 	// outputReserveTokens is the memory reserved for a run's next output: about three seconds of an engine's output.
 	outputReserveTokens = 300
-	// longStreamTime and shortRequestTime are the times that must be left on a stopping host to accept a long stream or any
-	// other request. Long streams are accepted until the load balancer has certainly seen that the host is not ready.
-	longStreamTime   = 5 * time.Second
-	shortRequestTime = 1500 * time.Millisecond
 	// writeSlack is the time after a request's deadline in which its last bytes may still be written.
 	writeSlack = 300 * time.Millisecond
 )
@@ -80,8 +76,8 @@
 	Log     *slog.Logger
 
 	keyAge atomic.Int64
-	// stopAt is when a stopping host aborts the requests still in progress; nil unless the host is stopping.
-	stopAt atomic.Pointer[time.Time]
+	// stop is set while the host is stopping.
+	stop atomic.Pointer[stop]
 	// buffered is the number of bytes of answers that are being read.
 	buffered atomic.Int64
 	active   sync.WaitGroup
@@ -119,22 +115,6 @@
 // SetMaxKeyAge sets the age of the routing table above which keys are no longer accepted; 0 means no bound.
 func (f *Front) SetMaxKeyAge(age time.Duration) { f.keyAge.Store(int64(age)) }
 
-// StopAt makes the host refuse new requests that may not be answered before the given time.
-func (f *Front) StopAt(end time.Time) { f.stopAt.Store(&end) }
-
-// stopsTooSoon reports whether the host stops before the request is certain to be answered.
-func (q *request) stopsTooSoon() bool {
-	end := q.stopAt.Load()
-	if end == nil {
-		return false
-	}
-	left := time.Until(*end)
-	if q.route.Kind == policy.Streaming && q.expectedOutput() >= longOutputTokens {
-		return left < longStreamTime
-	}
-	return left < shortRequestTime
-}
-
 // ServeHTTP forwards a request and answers it.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
@@ -216,10 +196,7 @@
 	if q.service == nil {
 		return retryable(refuse.CodeNoBackend, "the route's service is not known")
 	}
-	if q.stopsTooSoon() {
-		return retryable(refuse.CodeDraining, "the host is about to stop")
-	}
-	return nil
+	return q.checkStop(time.Now())
 }
 
 // isStale reports whether a table confirmed at a time is too old to accept keys.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -115,10 +115,10 @@
 
 func TestStoppingHostRefusesWhatItCouldNotFinish(t *testing.T) {
 	r := newRig(t, 2)
-	r.StopAt(time.Now().Add(3 * time.Second))
+	r.StopAt(time.Now(), time.Now().Add(1900*time.Millisecond))
 	long := callerRequest{method: http.MethodPost, path: "/report/x", key: "k1", headers: map[string]string{"Token-Usage": "100,4000"}}
 	assert.Equal(t, r.do(t, long).status, http.StatusServiceUnavailable)
 	assert.Equal(t, r.do(t, callerRequest{path: "/read/x", key: "k1"}).status, http.StatusOK)
-	r.StopAt(time.Now().Add(time.Second))
+	r.StopAt(time.Now(), time.Now().Add(time.Second))
 	assert.Equal(t, r.do(t, callerRequest{path: "/read/x", key: "k1"}).status, http.StatusServiceUnavailable)
 }
--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -46,7 +46,7 @@
 // changed is matched anew, and refused if its key is no longer accepted or the host stops before it could be answered.
 func (q *request) attemptStart(l queue.Limits) (*pool.Lease, error) {
 	table, confirmed := q.Tables.View()
-	if table.Version != q.table || q.isStale(confirmed) || q.stopAt.Load() != nil {
+	if table.Version != q.table || q.isStale(confirmed) || q.stop.Load() != nil {
 		if err := q.match(table, confirmed); err != nil {
 			return nil, err
 		}
--- a/internal/front/place_test.go
+++ b/internal/front/place_test.go
@@ -49,7 +49,7 @@
 			r.Tables.Confirm(ticks.Now())
 			r.fill(false)
 		}, http.StatusUnauthorized, 0},
-		{"refused when the host stops meanwhile", "/note/x", func(r *rig) { r.StopAt(time.Now().Add(time.Second)) }, http.StatusServiceUnavailable, 0},
+		{"refused when the host stops meanwhile", "/note/x", func(r *rig) { r.StopAt(time.Now(), time.Now().Add(time.Second)) }, http.StatusServiceUnavailable, 0},
 		{"refused once nobody can serve it in time", "/note/x", func(*rig) {}, http.StatusTooManyRequests, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -26,6 +26,8 @@
 	// balancerDelay is how long the load balancer may still send new connections: until two readiness checks, one second
 	// apart, have failed.
 	balancerDelay = 3200 * time.Millisecond
+	// rerouteDelay is how long the load balancer selects a stopping host for new connections while other hosts are ready.
+	rerouteDelay = 2500 * time.Millisecond
 	// shutdownMargin is the part of the grace period reserved for the process to exit.
 	shutdownMargin = 500 * time.Millisecond
 	// memoryFraction is the fraction of the allowed memory set as the garbage collector's limit; the rest is for memory
@@ -89,7 +91,7 @@
 	start := time.Now()
 	s.isStopping.Store(true)
 	s.Gossip.Leave()
-	s.Front.StopAt(start.Add(time.Duration(s.Settings.Platform.Grace) - shutdownMargin))
+	s.Front.StopAt(start.Add(rerouteDelay), start.Add(time.Duration(s.Settings.Platform.Grace)-shutdownMargin))
 	callers.SetKeepAlivesEnabled(false)
 	s.Log.Info("host stops", "grace", time.Duration(s.Settings.Platform.Grace))
 	drainCtx, cancel := context.WithTimeout(abort, time.Duration(s.Settings.Platform.Grace)-shutdownMargin)
