fix(crash): the first event of an answer does not prove a request sound

Cause: session.forward exonerated all keys of a request at the first event, and session.resume asked for a crash only before it, so that each crash counted as a proof of the opposite.

Change: proof is a whole answer, or one that its engine has gone on with for a second. Until then a break is followed by the probe, and a closed port is evidence. The end of a stream that ends with its connection proves nothing.

Evidence: TestServersThatCrashAtTheBeginningOfAnswersAreEvidence fails before in its three rows with events (6 requests reach engines, 2 are expected).

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -33,6 +33,9 @@
 	// maxKeys bounds the keys that one host keeps evidence of, and those whose last answer it remembers.
 	maxKeys    = 1024
 	maxAnswers = 8192
+	// ProofTime is how long a backend server goes on with an answer until its request counts as sound. The first event does not
+	// show that: a server that crashes under a request may have written some.
+	ProofTime = time.Second
 	// epoch keeps the times of evidence that is older than the machine's boot positive.
 	epoch = time.Hour
 )
@@ -153,7 +156,8 @@
 	return nil
 }
 
-// Answered records that a backend server has begun to answer the request, which exonerates all of its keys.
+// Answered records that a backend server has answered the request, or has gone on answering it for ProofTime, which
+// exonerates all of its keys.
 func (r *Run) Answered() {
 	t := r.table
 	t.mu.Lock()
@@ -210,8 +214,8 @@
 }
 
 // Broke finds out in the background whether the backend server that broke the request's connection has crashed, and if so,
-// records evidence against the request's keys. A request that was already being answered is not accused. ended is called
-// at the end.
+// records evidence against the request's keys. A request for which Answered was called is not accused. ended is called at
+// the end.
 func (r *Run) Broke(ctx context.Context, server Server, ended func()) {
 	brokeAt, probed := r.table.now(), make(chan struct{})
 	r.table.mu.Lock()
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// Crash is a crash of a backend server while a request waited there for its first event.
+// Crash is a crash of a backend server at the beginning of an answer, or before it.
 type Crash struct {
 	_ struct{} `cbor:",toarray"`
 
@@ -94,7 +94,7 @@
 	key uint64
 	// crashes are sorted by time.
 	crashes []Crash
-	// answeredAt is when an answer last began to a request with the key, triedAt when one was last sent as a trial; zero for
+	// answeredAt is when a request with the key was last shown to be sound, triedAt when one was last sent as a trial; zero for
 	// never.
 	answeredAt time.Duration
 	triedAt    time.Duration
--- a/internal/crash/share.go
+++ b/internal/crash/share.go
@@ -23,7 +23,7 @@
 
 	Key     uint64
 	Crashes []Crash
-	// AnswerAgeMS is the time since an answer last began to a request with the key, TrialAgeMS the time since the last
+	// AnswerAgeMS is the time since a request with the key was last shown to be sound, TrialAgeMS the time since the last
 	// trial, in milliseconds; negative for never.
 	AnswerAgeMS int64
 	Trials      int
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/tarragonspur/tarragonspur/internal/crash"
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 )
 
@@ -87,6 +89,93 @@
 	assert.Equal(t, r.guard.Quarantined(), 1)
 }
 
+// TestServersThatCrashAtTheBeginningOfAnswersAreEvidence guards against a first event that is taken as proof of a sound request.
+func TestServersThatCrashAtTheBeginningOfAnswersAreEvidence(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		events int
+		pause  time.Duration
+	}{
+		{"before the first event", 0, 0},
+		{"after the first event", 1, 0},
+		{"after the first event, later", 1, 300 * time.Millisecond},
+		{"after some events", 5, 40 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 8)
+			assert.Equal(t, r.do(t, report(0, "aa:40")).status, http.StatusOK)
+			for _, e := range r.engines {
+				e.Script = func(conn net.Conn, q *plat.Request) bool {
+					if !strings.Contains(q.Header.Get("Prefix-Hash"), "dead:") || q.Header.Get("Kv-From") != "" {
+						return false
+					}
+					e.MarkRun(q)
+					plat.WriteStreamHeader(conn, q)
+					for n := range tc.events {
+						_ = plat.WriteChunk(conn, plat.Event(q.Attempt(), n))
+						time.Sleep(tc.pause)
+					}
+					e.Crash()
+					return true
+				}
+			}
+			for i := range 6 {
+				if resp, err := r.try(t.Context(), report(10+i, "aa:40,dead:40")); err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+				r.recover(t)
+				assert.Equal(t, r.do(t, report(20+i, "aa:40")).status, http.StatusOK, "sound requests with the other part go on")
+				r.later.Add(-int64(4 * time.Second))
+			}
+			runs := 0
+			for _, q := range r.received() {
+				if strings.Contains(q.Header.Get("Prefix-Hash"), "dead:") {
+					runs++
+				}
+			}
+			assert.Equal(t, runs, 2)
+			assert.Equal(t, r.guard.Quarantined(), 1)
+		})
+	}
+}
+
+// TestStreamsThatWereGoingOnAreNotAccused guards against sound requests that are refused since their server crashed under another one.
+func TestStreamsThatWereGoingOnAreNotAccused(t *testing.T) {
+	r := newRig(t, 8)
+	for _, e := range r.engines {
+		e.Events, e.Pause = 200, 25*time.Millisecond
+		e.Script = func(conn net.Conn, q *plat.Request) bool {
+			if !strings.Contains(q.Header.Get("Prefix-Hash"), "dead:") {
+				return false
+			}
+			e.MarkRun(q)
+			e.Crash()
+			return true
+		}
+	}
+	// The part of this caller's own has never been answered.
+	const own = "aa:40,0e4:40"
+	for i := range 3 {
+		resp, err := r.try(t.Context(), report(10+i, own))
+		assert.NilError(t, err)
+		time.Sleep(crash.ProofTime + 200*time.Millisecond)
+		for _, e := range r.engines {
+			if e.InProgress() > 0 {
+				e.Crash()
+			}
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		r.recover(t)
+	}
+	assert.Equal(t, r.guard.Quarantined(), 0)
+	resp, err := r.try(t.Context(), report(20, own))
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
+
 func TestPartIsServedAgainOnceATrialIsAnswered(t *testing.T) {
 	const deadly = "aa:40,dead:40"
 	r := newRig(t, 8)
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -228,9 +228,7 @@
 		return s.cutError(s.ctx.Err())
 	}
 	broken.lease.RecordConnectionFailure(time.Now())
-	if !s.started {
-		s.checkForCrash(broken.lease.Server)
-	}
+	s.checkForCrash(broken.lease.Server)
 	s.log.Info("stream broke", "server", broken.lease.Server.ID, "last_event", s.lastNumber, "error", cause)
 	return s.replaceCurrent(cause)
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/crash"
 	"github.com/tarragonspur/tarragonspur/internal/send"
 )
 
@@ -53,8 +54,10 @@
 	// lastNumber is the number of the last forwarded event.
 	lastNumber int
 	started    bool
-	resumes    int
-	timing     eventTiming
+	// isSound is set once a backend server has gone on with the answer long enough not to have crashed under the request.
+	isSound bool
+	resumes int
+	timing  eventTiming
 }
 
 // stream answers a request with a stream of events.
@@ -151,13 +154,16 @@
 // handleItem forwards an item of the current upstream; it reports whether the stream is complete.
 func (s *session) handleItem(p streamItem) (bool, error) {
 	switch {
-	case errors.Is(p.err, io.EOF) && s.started && !s.current.hasEvent && s.current.header.Get("Content-Type") != s.contentType:
+	case errors.Is(p.err, io.EOF) && s.started && s.current.began.IsZero() && s.current.header.Get("Content-Type") != s.contentType:
 		return false, s.resume(errors.New("an answer that is no stream came in its place"))
 	case errors.Is(p.err, io.EOF):
 		if !s.started {
 			s.writeHead(s.current.status, s.current.header)
 		}
 		s.current.lease.RecordAnswer(false, time.Now())
+		if !s.current.isUnframed {
+			s.guarded.Answered()
+		}
 		if sb := s.current.standby; sb != nil && sb.copiedAt.IsZero() {
 			sb.releaseClaim()
 			s.current.standby = nil
@@ -173,9 +179,20 @@
 	}
 }
 
+// recordProof records an event of an upstream, and that the request is sound if the upstream has gone on for long enough.
+func (s *session) recordProof(from *upstream, now time.Time) {
+	switch {
+	case from.began.IsZero():
+		from.began = now
+	case !s.isSound && now.Sub(from.began) >= crash.ProofTime:
+		s.isSound = true
+		s.guarded.Answered()
+	}
+}
+
 // forward writes an event to the caller unless it was already forwarded.
 func (s *session) forward(from *upstream, p streamItem) error {
-	from.hasEvent = true
+	s.recordProof(from, time.Now())
 	if s.lastNumber != noEvent && p.number <= s.lastNumber {
 		return nil
 	}
@@ -185,7 +202,6 @@
 	if !s.started {
 		s.started = true
 		s.contentType = from.header.Get("Content-Type")
-		s.guarded.Answered()
 		from.lease.PrefillDone(time.Now())
 		s.Queue.Started(s.service.Name)
 		s.Meter.FirstEvent(time.Since(s.arrived))
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -35,8 +35,10 @@
 	header http.Header
 	status int
 	items  chan streamItem
-	// hasEvent is set by the session once it has received an event.
-	hasEvent bool
+	// began is when the session received the first event; zero before.
+	began time.Time
+	// isUnframed says that the end of the connection is the end of the answer, so that a crash may look like one.
+	isUnframed bool
 	// standby is the run's copy at another backend server; nil without one.
 	standby *standby
 	cancel  context.CancelFunc
@@ -148,7 +150,7 @@
 		full, err := q.readAnswer(ctx, lease, answer)
 		return nil, full, err
 	}
-	f.header, f.status = answer.Header, answer.Status
+	f.header, f.status, f.isUnframed = answer.Header, answer.Status, answer.IsUnframed
 	f.items = make(chan streamItem, 8)
 	go f.read(ctx, answer)
 	return f, nil, nil
