fix(crash): parts sent together with a deadly one do not quarantine sound requests

Cause: a crash accuses all parts of its request. Parts that no request had been answered with lately were quarantined together, and one trial at a time, tens of seconds apart, tells them apart.

Change: a key does not count against a request if all its crashes are also those of a quarantined part that the request lacks. The request's answer exonerates the key; its crash would leave the key unexplained. Keys of whole requests have a bit of their own, since they explain nothing.

Evidence: TestSoundRequestsWithPartsOfADeadlyOneAreNotRefused fails before in its first row.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -104,7 +104,7 @@
 func (t *Table) check(keys Keys, now time.Duration) (wait time.Duration, quarantined []*evidence) {
 	for key := range keys.all() {
 		e := t.keys[key]
-		if e == nil || !e.isQuarantined(now) {
+		if e == nil || !e.isQuarantined(now) || t.isExplained(e, keys, now) {
 			continue
 		}
 		left := e.trialAt(t.Host) - now
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -53,12 +53,12 @@
 // NewKeys returns the keys of a request whose prompt has the given parts, in order. The last part belongs to the request
 // itself; those after the first maxParts are ignored.
 func NewKeys(parts []string, whole uint64) Keys {
-	k := Keys{Whole: whole}
+	k := Keys{Whole: whole | wholeBit}
 	for _, part := range parts[:max(0, len(parts)-1)] {
 		if len(k.Parts) == maxParts {
 			break
 		}
-		if key := xxhash.Sum64String(part); !slices.Contains(k.Parts, key) {
+		if key := xxhash.Sum64String(part) &^ wholeBit; !slices.Contains(k.Parts, key) {
 			k.Parts = append(k.Parts, key)
 		}
 	}
