fix(front): requests that a stop cuts end with an answer or a line before the host is killed

Seen by callers: in a planned stop streams and other requests ended with a closed connection, and no log line said how.

Cause: the host waited for requests until 0.5 s before the end of the grace period and then for the HTTP server's shutdown, until SIGKILL: handlers never returned. Meanwhile it no longer followed the store, took that for an outage, and asked for precautionary copies. Requests that arrived in that half second were taken.

Change: the host aborts what is left 0.3 s before the end of the grace period. Requests without a part of an answer get an error, which says 503 only if none ran them; streams are closed; each has its line `request ended`. The store is followed until then. What arrives after the wait is refused, and so is a request whose body is still being read.

Evidence: TestEachCutRequestHasItsLine fails before (5.001 s of a grace period of 5 s), TestRequestsInProgressAtTheEndOfAStopEndWithALine and TestBodyThatIsReadAtTheEndOfAStopIsRefused are new.

--- a/internal/cause/outcomes.go
+++ b/internal/cause/outcomes.go
@@ -49,6 +49,10 @@
 
 // explainCut explains a stream that ended incomplete.
 func (q *analysis) explainCut(end Line) string {
+	if l, ok := q.activeSince("host stops", "host serves", end.At); ok && strings.Contains(end.Fields["error"], "the host stopped") {
+		q.addEvidence(l)
+		return fmt.Sprintf("the host was stopped %.1f s before, and the stream lasted beyond the grace period: %s", end.At.Sub(l.At).Seconds(), end.Fields["error"])
+	}
 	broke, ok := q.lastLine("stream broke")
 	if !ok {
 		return "the stream ended at the host: " + end.Fields["error"]
--- a/internal/front/explain_test.go
+++ b/internal/front/explain_test.go
@@ -94,7 +94,7 @@
 	return watch.Batch[string]{}, errors.New("status 503")
 }
 
-// TestFailuresShownOnTheOperationsPage reproduces the three cases shown in docs/OPERATIONS.md and checks that the log
+// TestFailuresShownOnTheOperationsPage reproduces the cases shown in docs/OPERATIONS.md and checks that the log
 // has the quoted lines and that package cause finds the cause.
 func TestFailuresShownOnTheOperationsPage(t *testing.T) {
 	tests := []struct {
@@ -133,6 +133,22 @@
 			"cut",
 			[]string{"broke the stream after event", "the host had heard", "before that it leaves", "its last copy", "failed"},
 		},
+		{
+			"A stream that a stop cut", func(t *testing.T, r *rig, _ *logRecorder) {
+				for _, e := range r.engines {
+					e.Events, e.Pause = 1000, 20*time.Millisecond
+				}
+				done := make(chan reply)
+				go func() { done <- r.do(t, streamRequest("/report/x")) }()
+				r.runningEngine(t)
+				r.Log.Info("host stops", "grace", time.Second)
+				time.Sleep(100 * time.Millisecond)
+				r.Abort()
+				<-done
+			},
+			"cut",
+			[]string{"the host was stopped", "after event"},
+		},
 		{
 			"A request that was refused", func(t *testing.T, r *rig, _ *logRecorder) {
 				r.SetMaxKeyAge(50 * time.Millisecond)
--- a/internal/front/fail.go
+++ b/internal/front/fail.go
@@ -65,10 +65,14 @@
 	case q.runs.Load() == 0 && errors.As(err, &limited):
 		q.log.Info("request beyond the servers' limits", "service", q.service.Name, "wait", limited.Wait)
 		return errors.WithSecondaryError(beyondLimits(limited.Wait), err)
+	case q.runs.Load() == 0 && errors.Is(err, errHostStopped):
+		return errors.WithSecondaryError(retryable(refuse.CodeDraining, errHostStopped.Error()), err)
 	case q.runs.Load() == 0:
 		return errors.WithSecondaryError(retryable(refuse.CodeNoBackend, "no backend server could take the request"), err)
 	case !time.Now().Before(q.deadline):
 		return errors.WithSecondaryError(&refuse.Error{Code: refuse.CodeTimeout, Message: "no answer within the time limit", Run: refuse.MayHaveRun}, err)
+	case errors.Is(err, errHostStopped):
+		return errors.WithSecondaryError(&refuse.Error{Code: refuse.CodeInterrupted, Message: errHostStopped.Error(), Run: refuse.MayHaveRun}, err)
 	default:
 		return errors.WithSecondaryError(&refuse.Error{Code: refuse.CodeInterrupted, Message: "the backend server's answer was lost", Run: refuse.MayHaveRun}, err)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -77,7 +77,8 @@
 
 	keyAge atomic.Int64
 	// stop is set while the host is stopping.
-	stop atomic.Pointer[stop]
+	stop   atomic.Pointer[stop]
+	aborts aborts
 	// buffered is the number of bytes of answers that are being read.
 	buffered atomic.Int64
 	active   sync.WaitGroup
@@ -125,11 +126,13 @@
 		method: r.Method, target: r.RequestURI, host: r.Host,
 		log: f.Log.With("request", call.ID),
 	}
-	if err := q.admit(r); err != nil {
+	ctx, release := q.abortable(r.Context())
+	defer release()
+	if err := q.admit(ctx, r); err != nil {
 		q.fail(err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	ctx, abort := context.WithCancelCause(ctx)
 	defer abort(nil)
@@ -143,8 +146,11 @@
 	} else {
 		err = q.unary(ctx)
 	}
-	if err != nil && errors.Is(context.Cause(ctx), crash.ErrQuarantined) {
+	switch cause := context.Cause(ctx); {
+	case err != nil && errors.Is(cause, crash.ErrQuarantined):
 		err = errors.CombineErrors(crash.ErrQuarantined, err)
+	case err != nil && errors.Is(cause, errHostStopped):
+		err = errors.Mark(err, errHostStopped)
 	}
 	if err != nil {
 		q.fail(q.callerError(r.Context(), err))
@@ -152,7 +158,7 @@
 }
 
 // admit matches the route, authenticates the workspace and reads the body. Its errors are refusals.
-func (q *request) admit(r *http.Request) error {
+func (q *request) admit(ctx context.Context, r *http.Request) error {
 	table, confirmed := q.Tables.View()
 	if table == nil {
 		return retryable(refuse.CodeStoreUnavailable, "no table is known yet")
@@ -161,7 +167,7 @@
 		return err
 	}
 	q.deadline = q.arrived.Add(q.effectiveTimeout())
-	if err := q.readBody(r, table.Limits); err != nil {
+	if err := q.readBody(ctx, r, table.Limits); err != nil {
 		return err
 	}
 	q.keys = crash.NewKeys(q.Parts, q.fingerprint())
@@ -217,7 +223,7 @@
 	return timeout
 }
 
-func (q *request) readBody(r *http.Request, limits policy.Limits) error {
+func (q *request) readBody(ctx context.Context, r *http.Request, limits policy.Limits) error {
 	q.hasBody = r.ContentLength != 0
 	if !q.hasBody {
 		return nil
@@ -228,7 +234,11 @@
 	}
 	control := http.NewResponseController(q.w)
 	_ = control.SetReadDeadline(q.deadline)
+	stopWaiting := context.AfterFunc(ctx, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, r.Body, maxBytes))
+	if !stopWaiting() && errors.Is(context.Cause(ctx), errHostStopped) {
+		return retryable(refuse.CodeDraining, errHostStopped.Error())
+	}
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -225,7 +225,7 @@
 func (s *session) resume(cause error) error {
 	broken := s.current
 	if s.ctx.Err() != nil {
-		return s.cutError(s.ctx.Err())
+		return s.cutError(context.Cause(s.ctx))
 	}
 	broken.lease.RecordConnectionFailure(time.Now())
 	s.checkForCrash(broken.lease.Server)
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -1,16 +1,28 @@
 package front
 
 import (
+	"context"
 	"fmt"
 	"math"
+	"net/http"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
 )
 
-// minStopTime is the time that must be left on a stopping host to accept any request.
-const minStopTime = 1500 * time.Millisecond
+const (
+	// minStopTime is the time that must be left on a stopping host to accept any request.
+	minStopTime = 1500 * time.Millisecond
+	// abortWriteTime is how long an aborted request may write to a caller that does not read.
+	abortWriteTime = 50 * time.Millisecond
+)
+
+// errHostStopped says that the host stopped before the answer was complete.
+var errHostStopped = errors.New("the host stopped before the answer was complete")
 
 // stop is the schedule of a stopping host.
 type stop struct {
@@ -54,3 +66,54 @@
 	onTime := q.route.LatencyTarget.Seconds() + events*q.route.EventGapTarget.Seconds()
 	return time.Duration(min(onTime, limit.Seconds()) * float64(time.Second))
 }
+
+// aborts holds the functions that abort the requests in progress.
+type aborts struct {
+	mu        sync.Mutex
+	all       map[*request]func()
+	isAborted bool
+}
+
+// add registers a request until remove is called; abort is called at once if all requests have been aborted.
+func (a *aborts) add(q *request, abort func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.isAborted {
+		abort()
+		return
+	}
+	if a.all == nil {
+		a.all = make(map[*request]func())
+	}
+	a.all[q] = abort
+}
+
+func (a *aborts) remove(q *request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.all, q)
+}
+
+// Abort ends all requests, also later ones: with an error response, or by closing the connection if the caller has received
+// a part of the answer.
+func (f *Front) Abort() {
+	f.aborts.mu.Lock()
+	defer f.aborts.mu.Unlock()
+	f.aborts.isAborted = true
+	for _, abort := range f.aborts.all {
+		abort()
+	}
+}
+
+// abortable returns a context that ends when the host aborts the request, and the function that ends it otherwise.
+func (q *request) abortable(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	q.aborts.add(q, func() {
+		cancel(errHostStopped)
+		_ = http.NewResponseController(q.w).SetWriteDeadline(time.Now().Add(abortWriteTime))
+	})
+	return ctx, func() {
+		q.aborts.remove(q)
+		cancel(nil)
+	}
+}
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -1,11 +1,21 @@
 package front_test
 
 import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 )
 
 // TestStoppingHostTakesNoStreamThatItMayCut guards against streams that are taken late in a planned stop and cut at its end.
@@ -52,3 +62,104 @@
 		})
 	}
 }
+
+// logBuffer is an output of log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// outcomes returns the outcomes in the lines of requests that ended.
+func (b *logBuffer) outcomes() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []string
+	for line := range strings.Lines(b.text.String()) {
+		if _, rest, isEnd := strings.Cut(line, `msg="request ended"`); isEnd {
+			_, rest, _ = strings.Cut(rest, "outcome=")
+			outcome, _, _ := strings.Cut(rest, " ")
+			all = append(all, outcome)
+		}
+	}
+	return all
+}
+
+// TestRequestsInProgressAtTheEndOfAStopEndWithALine guards against requests that a stop cuts without an answer or a log line.
+func TestRequestsInProgressAtTheEndOfAStopEndWithALine(t *testing.T) {
+	post := func(path, body string) callerRequest {
+		return callerRequest{method: http.MethodPost, path: path, key: "k1", body: body}
+	}
+	for _, tc := range []struct {
+		name    string
+		request callerRequest
+		// runs is the number of backend servers that run the request; it waits if there are none.
+		runs int
+		// script is what the backend servers do.
+		script  plat.Script
+		status  int
+		outcome string
+		isCut   bool
+	}{
+		{"plain, at work", post("/book/x", "b"), 1, silent, http.StatusBadGateway, "failed", false},
+		{"stream before its first event", post("/report/x", "b"), 1, silent, http.StatusBadGateway, "failed", false},
+		{"stream within its events", post("/report/x", "b"), 1, nil, http.StatusOK, "cut", true},
+		{"stream that waits for a backend server", post("/note/x", "b"), 0, nil, http.StatusServiceUnavailable, "refused", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 2)
+			r.fill(tc.runs == 0)
+			lines := &logBuffer{}
+			r.Log = slog.New(slog.NewTextHandler(lines, nil))
+			for _, e := range r.engines {
+				e.Events, e.Script = 1000, tc.script
+			}
+			tc.request.headers = map[string]string{"Token-Usage": "800,16", "Deadline-Ms": "60000"}
+			ended := make(chan reply, 1)
+			go func() { ended <- r.do(t, tc.request) }()
+			eventually(t, "the request to be sent or to wait", func() bool { return len(r.received()) == tc.runs && r.waiting() == 1-tc.runs })
+			time.Sleep(100 * time.Millisecond)
+			began := time.Now()
+			r.Abort()
+			r.Wait(t.Context())
+			assert.Assert(t, time.Since(began) < time.Second)
+			got := <-ended
+			assert.Equal(t, got.status, tc.status)
+			assert.Equal(t, got.err != nil, tc.isCut)
+			assert.DeepEqual(t, lines.outcomes(), []string{tc.outcome})
+			assert.Equal(t, r.do(t, post("/read/x", "")).status, http.StatusServiceUnavailable, "later requests are refused")
+		})
+	}
+}
+
+// TestBodyThatIsReadAtTheEndOfAStopIsRefused checks that a caller that is still sending is told that nothing has run.
+func TestBodyThatIsReadAtTheEndOfAStopIsRefused(t *testing.T) {
+	r := newRig(t, 2)
+	lines := &logBuffer{}
+	r.Log = slog.New(slog.NewTextHandler(lines, nil))
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", strings.TrimPrefix(r.server.URL, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nKey: k1\r\nContent-Length: 10\r\n\r\nhalf", attempt)
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	r.Abort()
+	r.Wait(t.Context())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.DeepEqual(t, lines.outcomes(), []string{"refused"})
+	assert.Equal(t, len(r.received()), 0)
+}
+
+// silent is a script of a backend server that runs requests and does not answer.
+func silent(conn net.Conn, _ *plat.Request) bool {
+	_, _ = io.Copy(io.Discard, conn)
+	return true
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -145,7 +145,7 @@
 			}
 		case <-ticker.C:
 		case <-s.ctx.Done():
-			return s.cutError(s.ctx.Err())
+			return s.cutError(context.Cause(s.ctx))
 		}
 		s.checkServer()
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -17,6 +17,7 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/group"
 	"github.com/tarragonspur/tarragonspur/internal/httpd"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 	"github.com/tarragonspur/tarragonspur/pkg/config"
 )
 
@@ -28,8 +29,10 @@
 	balancerDelay = 3200 * time.Millisecond
 	// rerouteDelay is how long the load balancer selects a stopping host for new connections while other hosts are ready.
 	rerouteDelay = 2500 * time.Millisecond
-	// shutdownMargin is the part of the grace period reserved for the process to exit.
-	shutdownMargin = 500 * time.Millisecond
+	// shutdownMargin is the part of the grace period reserved for the process to exit, abortTime that for requests that are
+	// aborted at the end to write their errors and log lines.
+	shutdownMargin = 150 * time.Millisecond
+	abortTime      = 150 * time.Millisecond
 	// memoryFraction is the fraction of the allowed memory set as the garbage collector's limit; the rest is for memory
 	// that it does not count.
 	memoryFraction = 0.6
@@ -86,24 +89,30 @@
 	return err
 }
 
-// drain fails the readiness check, so that the load balancer drops the host, and waits for its requests.
+// drain fails the readiness check, so that the load balancer drops the host, waits for its requests, and aborts those that are
+// still in progress near the end of the grace period.
 func (s *Site) drain(abort context.Context, callers *http.Server) {
 	start := time.Now()
 	s.isStopping.Store(true)
 	s.Gossip.Leave()
-	s.Front.StopAt(start.Add(rerouteDelay), start.Add(time.Duration(s.Settings.Platform.Grace)-shutdownMargin))
+	grace := time.Duration(s.Settings.Platform.Grace)
+	end := start.Add(grace - shutdownMargin - abortTime)
+	s.Front.StopAt(start.Add(rerouteDelay), end)
 	callers.SetKeepAlivesEnabled(false)
-	s.Log.Info("host stops", "grace", time.Duration(s.Settings.Platform.Grace))
-	drainCtx, cancel := context.WithTimeout(abort, time.Duration(s.Settings.Platform.Grace)-shutdownMargin)
+	s.Log.Info("host stops", "grace", grace)
+	drainCtx, cancel := context.WithDeadline(abort, end)
 	defer cancel()
-	timer := time.NewTimer(balancerDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-drainCtx.Done():
-	}
+	ticks.Sleep(drainCtx, balancerDelay)
+	s.Front.Wait(drainCtx)
+	// Requests that arrive from now on are refused; those that have just been taken are waited for.
+	s.Front.StopAt(start, time.Now())
 	s.Front.Wait(drainCtx)
-	s.Log.Info("requests ended", "after", time.Since(start), "all", drainCtx.Err() == nil)
+	isComplete := drainCtx.Err() == nil
+	s.Front.Abort()
+	abortCtx, stopWaiting := context.WithTimeout(abort, abortTime)
+	defer stopWaiting()
+	s.Front.Wait(abortCtx)
+	s.Log.Info("requests ended", "after", time.Since(start), "all", isComplete)
 }
 
 func (s *Site) serve(l net.Listener, handler http.Handler) func(context.Context) error {
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -30,6 +31,8 @@
 
 	stop, abort context.CancelFunc
 	ended       chan error
+	// log holds the lines that the host has written; it is read once the host has ended.
+	log bytes.Buffer
 }
 
 // newTestTown starts a fake deployment and waits until its hosts are ready.
@@ -55,13 +58,14 @@
 	t.Helper()
 	s, err := town.Settings(t.Context(), i, w.Store.Address())
 	assert.NilError(t, err)
-	site, err := Build(t.Context(), s, logs.NewWriter(io.Discard), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	h := &testHost{ended: make(chan error, 1)}
+	lines := logs.NewWriter(&h.log)
+	h.Site, err = Build(t.Context(), s, lines, slog.New(slog.NewTextHandler(lines, nil)))
 	assert.NilError(t, err)
-	h := &testHost{Site: site, ended: make(chan error, 1)}
 	ctx, stop := context.WithCancel(context.Background())
 	abort, cancel := context.WithCancel(context.Background())
 	h.stop, h.abort = stop, cancel
-	go func() { h.ended <- site.Run(ctx, abort) }()
+	go func() { h.ended <- h.Run(ctx, abort) }()
 	t.Cleanup(func() {
 		cancel()
 		stop()
@@ -213,3 +217,27 @@
 	assert.NilError(t, err)
 	assert.Assert(t, time.Since(began) < 5*time.Second)
 }
+
+// TestEachCutRequestHasItsLine guards against streams that end with the grace period without a line of how they ended.
+func TestEachCutRequestHasItsLine(t *testing.T) {
+	w := newTestTown(t, 1)
+	for i := range w.Servers {
+		w.Servers[i].Pause = 400 * time.Millisecond
+	}
+	done := make(chan response, 1)
+	go func() { done <- w.request(t, 0, "/report/x", town.Key) }()
+	w.eventually(t, "the stream to begin", func() bool {
+		return w.Servers[0].Runs()+w.Servers[2].Runs()+w.Servers[4].Runs() > 0
+	})
+	began := time.Now()
+	w.hosts[0].stop()
+	err := <-w.hosts[0].ended
+	took := time.Since(began)
+	w.hosts[0].ended <- err
+	assert.NilError(t, err)
+	assert.Equal(t, (<-done).status, 0, "the stream is cut")
+	assert.Assert(t, took < time.Duration(w.hosts[0].Settings.Platform.Grace), "the host ends before the platform kills it: %s", took)
+	log := w.hosts[0].log.String()
+	assert.Equal(t, strings.Count(log, `msg="request ended" request=id1 outcome=cut`), 1, log)
+	assert.Assert(t, !strings.Contains(log, "copy on demand"), "the host does not lose touch before its requests end: %s", log)
+}
