test(front): a cut head is no answer, and late plain requests in a stop are not cut

A head that stops in the middle can't be taken for an answer here: every prefix of six heads is an error (TestHeadsThatStopInTheMiddle), and callers get 502, never a 200 (TestHeadThatStopsInTheMiddleIsNoAnswer, three kinds of requests).

Plain requests late in a stop could be cut: their time limit was not compared with the time left, and what was left at the end had no answer.

--- a/internal/front/errors_test.go
+++ b/internal/front/errors_test.go
@@ -126,3 +126,35 @@
 		}
 	}
 }
+
+// TestHeadThatStopsInTheMiddleIsNoAnswer guards against a cut head that callers get as a whole answer with an empty or short body.
+func TestHeadThatStopsInTheMiddleIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nResponse-Signature: s1\r\n"
+	for _, tc := range []struct{ name, text string }{
+		{"status line", "HTTP/1.1 200"},
+		{"between headers", head},
+		{"within a header's name", head + "Content-Le"},
+		{"within a length", head + "Content-Length: 1"},
+		{"before the blank line", head + "Content-Length: 120\r\n"},
+		{"within the blank line", head + "Content-Length: 120\r\n\r"},
+		{"length without a body", head + "Content-Length: 120\r\n\r\n"},
+		{"chunks without an end", head + "Transfer-Encoding: chunked\r\n\r\n"},
+	} {
+		for _, path := range []string{"/book/x", "/read/x", "/report/x"} {
+			t.Run(tc.name+path, func(t *testing.T) {
+				r := newRig(t, 4)
+				for _, e := range r.engines {
+					e.Script = func(conn net.Conn, q *plat.Request) bool {
+						e.MarkRun(q)
+						_, _ = conn.Write([]byte(tc.text))
+						return true
+					}
+				}
+				request := callerRequest{method: http.MethodPost, path: path, key: "k1", body: "b", headers: map[string]string{"Token-Usage": "100,8"}}
+				got := r.do(t, request)
+				assert.Equal(t, got.status, http.StatusBadGateway)
+				assert.Assert(t, len(r.received()) == 1 || path == "/read/x", "it may have run")
+			})
+		}
+	}
+}
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -78,6 +78,7 @@
 		{Name: "book", Host: "h.example", Prefix: "/book/", Services: to("mill"), Timeout: 600 * time.Millisecond, MaxAttempts: 2},
 		{Name: "read", Host: "h.example", Prefix: "/read/", Kind: policy.Idempotent, Services: to("mill"), Timeout: 600 * time.Millisecond, MaxAttempts: 2},
 		{Name: "open", Host: "h.example", Prefix: "/open/", Kind: policy.Idempotent, Services: to("mill"), MaxAttempts: 2, Public: true},
+		{Name: "once", Host: "h.example", Prefix: "/once/", Services: to("mill"), MaxAttempts: 2},
 		{Name: "west", Host: "h.example", Prefix: "/west/", Kind: policy.Idempotent, Services: to("mill"), MaxAttempts: 2, Regions: []string{"west"}},
 		{Name: "report", Host: "h.example", Prefix: "/report/", Kind: policy.Streaming, Services: to("model"), Timeout: 3 * time.Second, MaxAttempts: 2},
 		{Name: "brief", Host: "h.example", Prefix: "/brief/", Kind: policy.Streaming, Services: to("model"), Timeout: 3 * time.Second, LatencyTarget: time.Second, EventGapTarget: 100 * time.Millisecond, MaxAttempts: 2},
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -163,3 +163,41 @@
 	_, _ = io.Copy(io.Discard, conn)
 	return true
 }
+
+// TestNoPlainRequestLateInAStopIsCut guards against requests, also those that run once, that are taken late in a stop and cut without
+// an answer at its end. The backend servers of this test don't answer.
+func TestNoPlainRequestLateInAStopIsCut(t *testing.T) {
+	for _, path := range []string{"/book/x", "/read/x", "/open/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			r := newRig(t, 8)
+			for _, e := range r.engines {
+				e.Script = silent
+			}
+			const grace = 2500 * time.Millisecond
+			r.StopAt(time.Now().Add(300*time.Millisecond), time.Now().Add(grace))
+			var senders sync.WaitGroup
+			var mu sync.Mutex
+			statuses := make(map[int]int)
+			for i := range 24 {
+				senders.Go(func() {
+					time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+					resp, err := r.try(t.Context(), callerRequest{method: http.MethodPost, path: path, key: "k1", body: "b"})
+					if !assert.Check(t, err, "no answer to the request of %d ms", i*100) {
+						return
+					}
+					defer func() { _ = resp.Body.Close() }()
+					_, err = io.Copy(io.Discard, resp.Body)
+					assert.Check(t, err)
+					mu.Lock()
+					defer mu.Unlock()
+					statuses[resp.StatusCode]++
+				})
+			}
+			time.Sleep(grace)
+			r.Abort()
+			senders.Wait()
+			assert.Assert(t, statuses[http.StatusServiceUnavailable] >= 8, "late requests are refused: %v", statuses)
+			assert.Assert(t, statuses[http.StatusGatewayTimeout]+statuses[http.StatusBadGateway] > 0, "earlier ones are taken: %v", statuses)
+		})
+	}
+}
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -96,3 +96,26 @@
 		})
 	}
 }
+
+// TestHeadsThatStopInTheMiddle guards against an answer whose head was cut and that is passed on with an empty or short body.
+func TestHeadsThatStopInTheMiddle(t *testing.T) {
+	for _, tc := range []struct{ name, head string }{
+		{"length", "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s1\r\nContent-Length: 120\r\nX-Folded: a\r\n b\r\n\r\n"},
+		{"chunks", "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s1\r\nTransfer-Encoding: chunked\r\n\r\n"},
+		{"neither", "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Signature: s1\r\nContent-Type: text/event-stream\r\n\r\n"},
+		{"bare line breaks", "HTTP/1.1 200 OK\nAttempt-Id: a1\nResponse-Signature: s1\nContent-Length: 120\n\n"},
+		{"older version", "HTTP/1.0 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 120\r\n\r\n"},
+		{"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 120\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for n := range len(tc.head) {
+				address, _ := serve(t, tc.head[:n], "")
+				answer, err := Open(t.Context(), address, &Request{Method: http.MethodPost, Target: "/", Host: "h"})
+				if err == nil {
+					answer.Close()
+				}
+				assert.Assert(t, errors.IsAny(err, ErrBroken, ErrInvalidAnswer), "cut after %q: %v", tc.head[:n], err)
+			}
+		})
+	}
+}
