test(site): hosts of a small site do not pass on documents older than their bound

With mirror.maxAge at 4 s for all kinds no test failed: the other host of the rig learns within 150 ms that the reader has lost the store. The new row of TestConfirmedTableIsInForceInTime keeps that from it; with 4 s its first change is not in force after 2.5 s (the row fails), with the bound that follows from the setting it is after 1.2 s.

The reader's port was chosen by opening and closing a listener; a link of a row beside it could take it meanwhile, which was seen once (row "calls to the store have failed for a second, no reader": address already in use). Each rig has a loopback address of its own now.

--- a/internal/site/intime_test.go
+++ b/internal/site/intime_test.go
@@ -40,7 +40,9 @@
 	reader            *mirror.Mirror
 	// hasReader is whether the other host knows the reader.
 	hasReader bool
-	version   int
+	// isReaderStale makes the other host take the reader for one, whatever that says of itself.
+	isReaderStale atomic.Bool
+	version       int
 }
 
 // link forwards connections on loopback and can hold or slow them.
@@ -172,6 +174,9 @@
 	return holder
 }
 
+// rigsStarted counts the rigs, which have an address each.
+var rigsStarted atomic.Int32 //nolint:gochecknoglobals // loopback addresses belong to the process
+
 // put writes the next version of the table and returns it; padding is the size of a name in it.
 func (r *tableRig) put(padding int) int64 {
 	r.version++
@@ -198,7 +203,8 @@
 	health := &watch.Health{Log: log}
 	r.reader = newTestMirror(r.settings, platform.NewStore(r.toStore.address, log), readers, log)
 	r.follow(t, r.reader, readers, health)
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	// No other listener of the tests that run beside this one takes the port between its choice and the server's start.
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.3.%d:0", rigsStarted.Add(1)))
 	assert.NilError(t, err)
 	address := netip.MustParseAddrPort(l.Addr().String())
 	assert.NilError(t, l.Close())
@@ -217,7 +223,7 @@
 		}
 	}()
 	others := rigReaders{hosts: r.hosts, reader: func() (mirror.Host, bool) {
-		return mirror.Host{Name: "reader", Address: r.toReader.address}, r.hasReader && isReading.Load()
+		return mirror.Host{Name: "reader", Address: r.toReader.address}, r.hasReader && (isReading.Load() || r.isReaderStale.Load())
 	}}
 	m := newTestMirror(r.settings, platform.NewStore(r.store.Address(), log), others, log)
 	holder := r.follow(t, m, others, &watch.Health{Log: log})
@@ -270,6 +276,10 @@
 			time.Sleep(400 * time.Millisecond)
 			r.toStore.isCut.Store(true)
 		}},
+		{"the reader loses the store, and the other host does not learn it", 7, true, small, func(r *tableRig) {
+			r.isReaderStale.Store(true)
+			r.toStore.isCut.Store(true)
+		}},
 		{"the reader's calls to the store fall silent", 7, true, small, func(r *tableRig) { r.toStore.hold() }},
 		{"the reader falls silent", 7, true, small, func(r *tableRig) { r.toReader.isCut.Store(true) }},
 		{"the reader's connections fall silent", 7, true, small, func(r *tableRig) { r.toReader.hold() }},
