fix(mirror): a call that a silent store leaves unanswered does not prolong the pause after it

Seen by callers: in a test, on a deployment of 83 hosts, a table confirmed after a silent outage of the store was not in force within the 4 s of configApplyMs, at a host that reads the store itself.

Cause: the pause after failures counted from the moment at which the last call failed. Calls made in the last moments of the outage fail at their time limits, 2 s and more after its end, and then the pause of 2.4 s began; all kinds share it.

Change: it counts from the beginning of the latest call that failed. The rate at which hosts call a failing store stays the same.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -99,9 +99,10 @@
 	// avoided is, by host, or by host and kind, the time until which it is not asked again after a failure.
 	avoided map[avoidance]time.Time
 	// firstFailure and lastFailure are when calls of any kind to the store first and last failed since one succeeded; zero if
-	// none has.
+	// none has. failedCall is when the latest of them had begun: a call to a silent store may fail when that has long been back.
 	firstFailure time.Time
 	lastFailure  time.Time
+	failedCall   time.Time
 	// lostAt is when a read from the reading host first failed or found none, zero after one that succeeded. This host calls
 	// the store itself from directAt on.
 	lostAt   time.Time
@@ -141,11 +142,11 @@
 	c := m.cache(kind)
 	c.load()
 	defer c.loaded()
-	began := ticks.Now()
+	began, calledAt := ticks.Now(), time.Now()
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	b, err := m.Store.List(listCtx, kind)
-	m.recordOutcome(err)
+	m.recordOutcome(calledAt, err)
 	if err == nil {
 		c.replace(b, began)
 	}
@@ -165,10 +166,10 @@
 	pause := min(longest, time.Duration(m.Readers.Hosts())*time.Second/maxCallingHostsPerSecond)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.lastFailure.Sub(m.firstFailure) < brokenDuration {
-		pause = min(pause, brokenDuration)
+	if m.lastFailure.Sub(m.firstFailure) < brokenDuration && time.Since(m.lastFailure) >= brokenDuration {
+		return false
 	}
-	return time.Since(m.lastFailure) < pause
+	return time.Since(m.failedCall) < pause
 }
 
 // awaitsReader reports whether this host waits a moment for another one to read the store. The preferred reader never waits.
@@ -185,19 +186,22 @@
 	return now.Before(m.directAt)
 }
 
-// recordOutcome records whether a call to the store failed. An answer that can't be read is none of a failing store: other kinds
-// may be well.
-func (m *Mirror) recordOutcome(err error) {
+// recordOutcome records whether a call to the store, which began at a time, failed. An answer that can't be read is none of a
+// failing store: other kinds may be well.
+func (m *Mirror) recordOutcome(began time.Time, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrUnreadable) {
-		m.firstFailure, m.lastFailure = time.Time{}, time.Time{}
+		m.firstFailure, m.lastFailure, m.failedCall = time.Time{}, time.Time{}, time.Time{}
 		return
 	}
 	m.lastFailure = time.Now()
 	if m.firstFailure.IsZero() {
 		m.firstFailure = m.lastFailure
 	}
+	if began.After(m.failedCall) {
+		m.failedCall = began
+	}
 }
 
 // Changes waits for changes after a revision; ErrHistoryGone means that a full list is needed.
@@ -223,9 +227,9 @@
 			return Batch{}, errors.Wrap(ErrNotReading, "no time is left for a call to the store")
 		}
 	}
-	began := ticks.Now()
+	began, calledAt := ticks.Now(), time.Now()
 	b, err = m.Store.Changes(ctx, kind, since, wait)
-	m.recordOutcome(err)
+	m.recordOutcome(calledAt, err)
 	switch {
 	case err == nil:
 		m.cache(kind).apply(b, since, began)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -280,7 +280,7 @@
 	m := newMirror(store, &fakeReaders{isFollower: true})
 	began := time.Now()
 	for range 3 {
-		m.recordOutcome(store.err)
+		m.recordOutcome(time.Now(), store.err)
 	}
 	store.err = nil
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/site/intime_test.go
+++ b/internal/site/intime_test.go
@@ -33,11 +33,11 @@
 // tableRig is a store and two hosts that follow its table: one that reads for the other, and the other.
 type tableRig struct {
 	store *plat.Store
-	// toStore is the reader's way to the store, toReader the other host's way to the reader.
-	toStore, toReader *link
-	settings          config.Settings
-	hosts             int
-	reader            *mirror.Mirror
+	// toStore is the reader's way to the store, directToStore the other host's, toReader the other host's way to the reader.
+	toStore, directToStore, toReader *link
+	settings                         config.Settings
+	hosts                            int
+	reader                           *mirror.Mirror
 	// hasReader is whether the other host knows the reader.
 	hasReader bool
 	// isReaderStale makes the other host take the reader for one, whatever that says of itself.
@@ -197,7 +197,7 @@
 		r.store.PutText("servers", fmt.Sprint("s", i), fmt.Appendf(nil, `{"service":"model","address":"10.0.0.%d:80","zone":"d1","slots":8,"state":"healthy"}`, i))
 	}
 	r.settings.Platform.Regions = map[string]string{"d1": "east"}
-	r.toStore = newLink(t, r.store.Address())
+	r.toStore, r.directToStore = newLink(t, r.store.Address()), newLink(t, r.store.Address())
 
 	readers := rigReaders{hosts: r.hosts, isPreferred: true}
 	health := &watch.Health{Log: log}
@@ -225,7 +225,7 @@
 	others := rigReaders{hosts: r.hosts, reader: func() (mirror.Host, bool) {
 		return mirror.Host{Name: "reader", Address: r.toReader.address}, r.hasReader && (isReading.Load() || r.isReaderStale.Load())
 	}}
-	m := newTestMirror(r.settings, platform.NewStore(r.store.Address(), log), others, log)
+	m := newTestMirror(r.settings, platform.NewStore(r.directToStore.address, log), others, log)
 	holder := r.follow(t, m, others, &watch.Health{Log: log})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if table, _ := holder.View(); table == nil || r.hasReader && !isReading.Load() {
@@ -280,6 +280,11 @@
 			r.isReaderStale.Store(true)
 			r.toStore.isCut.Store(true)
 		}},
+		{"the store was silent, and so are the last calls made then", 7, true, small, func(r *tableRig) { r.darken(3300 * time.Millisecond) }},
+		{"the store was silent, and so are the last calls made then, no reader", 7, false, small, func(r *tableRig) { r.darken(3300 * time.Millisecond) }},
+		{"the store was silent for longer", 7, true, small, func(r *tableRig) { r.darken(5 * time.Second) }},
+		{"the store was silent, large deployment", 83, true, grown, func(r *tableRig) { r.darken(3300 * time.Millisecond) }},
+		{"the store was silent, large deployment, no reader", 83, false, grown, func(r *tableRig) { r.darken(3300 * time.Millisecond) }},
 		{"the reader's calls to the store fall silent", 7, true, small, func(r *tableRig) { r.toStore.hold() }},
 		{"the reader falls silent", 7, true, small, func(r *tableRig) { r.toReader.isCut.Store(true) }},
 		{"the reader's connections fall silent", 7, true, small, func(r *tableRig) { r.toReader.hold() }},
@@ -299,6 +304,19 @@
 	}
 }
 
+// darken makes the store silent for a time; calls made then stay without an answer.
+func (r *tableRig) darken(outage time.Duration) {
+	links := []*link{r.toStore, r.directToStore}
+	for _, l := range links {
+		l.isCut.Store(true)
+	}
+	time.Sleep(outage)
+	for _, l := range links {
+		l.hold()
+		l.isCut.Store(false)
+	}
+}
+
 // checkChanges changes the table for some seconds and checks that each version is in force within the bound.
 func (r *tableRig) checkChanges(t *testing.T, holder *policy.Holder, bound time.Duration) {
 	t.Helper()
