--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -22,6 +22,8 @@
 	forgetLeavingAfter = 10 * time.Minute
 	// minLimit is the lowest limit in requests a second that is kept to: at none, no answer could end it.
 	minLimit = 0.05
+	// maxLimit is what a higher limit counts as; no deployment sends as much.
+	maxLimit = 1e6
 	// maxServers bounds the backend servers with a state.
 	maxServers = 1024
 )
@@ -117,7 +119,7 @@
 	before := s.isLimited()
 	limit := s.limit
 	if st.Limit > 0 {
-		s.limit, s.limitedAt = max(minLimit, st.Limit), now
+		s.limit, s.limitedAt = min(max(minLimit, st.Limit), maxLimit), now
 	} else {
 		s.unlimitedAt = now
 	}
--- a/internal/notice/share.go
+++ b/internal/notice/share.go
@@ -77,7 +77,7 @@
 		}
 		before, limit := s.isLimited(), s.limit
 		if at := timeOf(r.LimitedAgeMS, now); r.Limit >= minLimit && (at > s.limitedAt+mergeTolerance || s.limitedAt == 0) {
-			s.limit, s.limitedAt = r.Limit, at
+			s.limit, s.limitedAt = min(r.Limit, maxLimit), at
 		}
 		if at := timeOf(r.LeavingAgeMS, now); at > 0 {
 			t.leaves(s, at, host)
--- a/internal/notice/split.go
+++ b/internal/notice/split.go
@@ -25,7 +25,7 @@
 )
 
 // maxHosts returns the number of hosts that may share a limit where there is little demand.
-func maxHosts(limit float64) int { return int(hostsPerLimit*limit) + moreHosts }
+func maxHosts(limit float64) int { return int(hostsPerLimit*min(limit, maxLimit)) + moreHosts }
 
 // ShareByDemand returns the part of a limit, from 0 to 1, that a host may use, where each host knows the requests a second to the
 // service at all live ones, which may be 0. Many hosts would each have less than one send in seconds, and their sum would be left to
