fix(recall): quarantined keys outlast a kill of all hosts

Cause: evidence of crashes lived in the hosts' memory and in datagrams between live hosts.

Change: a host that has seen a crash under a key saves its evidence in the store when the quarantine begins or a trial fails; the host that ends the quarantine removes it. Hosts read all entries once when they start. Failed calls are made again with growing pauses.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -57,6 +57,8 @@
 	answers map[uint64]time.Duration
 	waiting map[*Run]struct{}
 	version uint64
+	// unsaved holds the keys that TakeUnsaved returns next.
+	unsaved map[uint64]struct{}
 }
 
 // Server is a backend server that may have crashed.
@@ -179,6 +181,7 @@
 			continue
 		}
 		if e.isQuarantined(now) {
+			t.markUnsaved(key)
 			t.Log.Info("quarantine ends", "request", r.id, "key", key, "crashes", len(e.crashes), "trials", e.trials)
 		}
 		if e.hasCrashes() {
@@ -265,8 +268,11 @@
 		e := t.evidenceOf(key, now)
 		wasQuarantined := e.isQuarantined(now)
 		if e.add(c) {
-			e.changedAt = now
+			e.changedAt, e.isOwn = now, true
 			t.logQuarantine(e, wasQuarantined, now)
+			if e.isQuarantined(now) {
+				t.markUnsaved(key)
+			}
 		}
 	}
 	t.changed()
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -101,6 +101,8 @@
 	trials     int
 	// changedAt is when the evidence last changed.
 	changedAt time.Duration
+	// isOwn is set once this host has seen a crash under the key.
+	isOwn bool
 }
 
 // isSame reports whether two reports concern the same crash. A backend server crashes once between two starts, however late
--- a/internal/crash/share.go
+++ b/internal/crash/share.go
@@ -103,6 +103,9 @@
 				t.remember(e.key, e.answeredAt)
 			}
 			t.logQuarantine(e, wasQuarantined, now)
+			if e.isOwn && !wasQuarantined && e.isQuarantined(now) {
+				t.markUnsaved(e.key)
+			}
 			if wasQuarantined && !e.isQuarantined(now) {
 				t.Log.Info("quarantine ends by another host's evidence", "key", e.key, "crashes", len(e.crashes), "trials", e.trials)
 			}
--- a/internal/fakes/plat/store.go
+++ b/internal/fakes/plat/store.go
@@ -117,6 +117,13 @@
 	return s.calls
 }
 
+// Count returns the number of objects of a kind.
+func (s *Store) Count(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects[kind])
+}
+
 // Put writes an object; spec is encoded as JSON.
 func (s *Store) Put(kind, name string, spec any) {
 	text, err := json.Marshal(spec)
@@ -182,6 +189,10 @@
 	switch {
 	case r.Method == http.MethodPost:
 		s.create(w, r, kind, outage == Lossy)
+	case r.Method == http.MethodPut:
+		s.replace(w, r, kind, name)
+	case r.Method == http.MethodDelete:
+		s.remove(w, kind, name)
 	case r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
 	case name == "":
@@ -227,6 +238,34 @@
 	writeJSON(w, http.StatusOK, created.append(nil))
 }
 
+func (s *Store) replace(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var o object
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, exists := s.objects[kind][name]; !exists {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	replaced := s.put(kind, name, o.Spec)
+	writeJSON(w, http.StatusOK, replaced.append(nil))
+}
+
+func (s *Store) remove(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	_, exists := s.objects[kind][name]
+	s.mu.Unlock()
+	if !exists {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.Delete(kind, name)
+	writeJSON(w, http.StatusOK, []byte("{}"))
+}
+
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/recall/recall.go
@@ -0,0 +1,123 @@
+// Package recall keeps the evidence of quarantined keys in the platform's store, so that it outlasts a kill of all hosts.
+package recall
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
+)
+
+const (
+	// savePeriod is the mean time between two looks for changes; hosts look at different times.
+	savePeriod = 300 * time.Millisecond
+	// retryDelay is the mean pause after a failed call, and maxRetryDelay that after several.
+	retryDelay    = time.Second
+	maxRetryDelay = 8 * time.Second
+	// callTimeout bounds one call to the store.
+	callTimeout = 3 * time.Second
+)
+
+// Saved is the evidence of a quarantined key as of a time.
+type Saved struct {
+	At       time.Time
+	Evidence crash.Evidence
+}
+
+// Store holds the evidence of quarantined keys.
+type Store interface {
+	Load(ctx context.Context) ([]Saved, error)
+	// Save writes the evidence of a key, in place of earlier evidence.
+	Save(ctx context.Context, s Saved) error
+	// Remove removes the evidence of a key; none is no error.
+	Remove(ctx context.Context, key uint64) error
+}
+
+// Keeper reads the saved evidence when a host starts, and saves what the host finds out. Its exported fields are set before Run.
+type Keeper struct {
+	Table *crash.Table
+	Store Store
+	Log   *slog.Logger
+
+	failures int
+}
+
+// Name implements site.Controller.
+func (*Keeper) Name() string { return "quarantined keys" }
+
+// Run runs until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	for isLoaded := false; ; {
+		if !isLoaded {
+			isLoaded = k.load(ctx)
+		}
+		k.save(ctx)
+		if !ticks.Sleep(ctx, k.pause()) {
+			return nil
+		}
+	}
+}
+
+// pause returns the time until the next calls.
+func (k *Keeper) pause() time.Duration {
+	pause := savePeriod
+	if k.failures > 0 {
+		pause = min(maxRetryDelay, retryDelay<<min(k.failures-1, 4))
+	}
+	return time.Duration((0.5 + rand.Float64()) * float64(pause))
+}
+
+// load adds the saved evidence to the table and reports whether it could be read.
+func (k *Keeper) load(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	all, err := k.Store.Load(ctx)
+	if !k.record(ctx, "load", err) {
+		return false
+	}
+	for _, s := range all {
+		k.Table.Recall(s.Evidence, time.Since(s.At))
+	}
+	if len(all) > 0 {
+		k.Log.Info("quarantined keys read", "count", len(all))
+	}
+	return true
+}
+
+// save writes the changes that this host has found out.
+func (k *Keeper) save(ctx context.Context) {
+	quarantined, ended := k.Table.TakeUnsaved()
+	for _, e := range quarantined {
+		k.change(ctx, e.Key, "save", func(ctx context.Context) error { return k.Store.Save(ctx, Saved{At: time.Now(), Evidence: e}) })
+	}
+	for _, key := range ended {
+		k.change(ctx, key, "remove", func(ctx context.Context) error { return k.Store.Remove(ctx, key) })
+	}
+}
+
+// change makes one call that changes a key's entry; one that fails is made again later.
+func (k *Keeper) change(ctx context.Context, key uint64, what string, call func(context.Context) error) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if !k.record(ctx, what, call(callCtx)) {
+		k.Table.MarkUnsaved(key)
+		return
+	}
+	k.Log.Info("quarantined key "+what+"d", "key", key)
+}
+
+// record counts and logs a failed call, and reports whether the call succeeded.
+func (k *Keeper) record(ctx context.Context, what string, err error) bool {
+	if err == nil {
+		k.failures = 0
+		return true
+	}
+	if ctx.Err() == nil || k.failures == 0 {
+		k.Log.Info("store call failed", "kind", "quarantined keys", "call", what, "failures", k.failures, "error", err)
+	}
+	k.failures++
+	return false
+}
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -23,6 +23,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
+	"github.com/tarragonspur/tarragonspur/internal/recall"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 	"github.com/tarragonspur/tarragonspur/internal/watch"
 	"github.com/tarragonspur/tarragonspur/pkg/config"
@@ -70,6 +71,7 @@
 	newHealth,
 	newSyncStatus,
 	newCrashes,
+	newKeeper,
 	newNotices,
 	newGossip,
 	newBudget,
@@ -153,6 +155,10 @@
 	return &crash.Table{Host: s.Host, Log: log}
 }
 
+func newKeeper(st *platform.Store, t *crash.Table, log *slog.Logger) *recall.Keeper {
+	return &recall.Keeper{Table: t, Store: platform.Quarantines{Store: st}, Log: log}
+}
+
 func newNotices(log *slog.Logger) *notice.Table { return &notice.Table{Log: log} }
 
 func newGossip(s config.Settings, st *platform.Store, p *pool.Pool, t *crash.Table, n *notice.Table, w *queue.Queue, log *slog.Logger) *gossip.Gossip {
@@ -253,8 +259,8 @@
 }
 
 // newControllers lists the host's controllers.
-func newControllers(t *watch.Follower[*policy.Table], s *watch.Follower[pool.Server], e *watch.Follower[string], g *gossip.Gossip, m *mirror.Server) []Controller {
-	return []Controller{t, s, e, g, m}
+func newControllers(t *watch.Follower[*policy.Table], s *watch.Follower[pool.Server], e *watch.Follower[string], g *gossip.Gossip, m *mirror.Server, k *recall.Keeper) []Controller {
+	return []Controller{t, s, e, g, m, k}
 }
 
 // listeners are the open listeners of a host.
