fix(crash): a batch of crashes under one key is evidence

Cause: crashes less than 200 ms apart counted as one, whatever their number.

Change: four or more of them under a key that has not been answered quarantine it.

--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// simultaneous is the time within which crashes count as one: backend servers that stop together have another cause in
-	// common than a key.
-	simultaneous = 200 * time.Millisecond
+	// simultaneous is the time within which crashes count as one: backend servers that stop together may have another cause in
+	// common than a key. That of crashesAtOnce under the same new key is the key, as requests with one may come together too.
+	simultaneous  = 200 * time.Millisecond
+	crashesAtOnce = 4
 	// sameCrash is the time within which reports of several hosts on one backend server concern the same crash.
 	sameCrash = 1500 * time.Millisecond
 	// ageError bounds the error of an age that was sent to another host. Times that differ by less are the same, so that the
@@ -181,20 +182,25 @@
 
 // isQuarantined reports whether enough backend servers have crashed under the key since a request with it was last answered.
 func (e *evidence) isQuarantined(now time.Duration) bool {
-	spacing, needed := simultaneous, crashesOfNew
+	spacing, needed, atOnce := simultaneous, crashesOfNew, crashesAtOnce
 	if e.hasAnswered() && e.lastCrash()-e.answeredAt < evidenceTTL {
-		spacing, needed = provenSpacing, crashesOfProven
+		spacing, needed, atOnce = provenSpacing, crashesOfProven, MaxCrashes+1
 	}
-	count, last := 0, time.Duration(0)
+	// A group is crashes that count as one.
+	groups, size, last := 0, 0, time.Duration(0)
 	for _, c := range e.crashes {
 		if c.at <= e.answeredAt || now-c.at > evidenceTTL {
 			continue
 		}
-		if count == 0 || c.at-last >= spacing {
-			count, last = count+1, c.at
+		if groups == 0 || c.at-last >= spacing {
+			groups, size, last = groups+1, 0, c.at
+		}
+		size++
+		if groups >= needed || size >= atOnce {
+			return true
 		}
 	}
-	return count >= needed
+	return false
 }
 
 // trialAt returns when a host may send one request with the quarantined key. Hosts do so at different times, and receive
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -140,6 +141,34 @@
 	}
 }
 
+// TestBatchOfRequestsWithAPartThatCrashesServers guards against crashes of a batch of requests that count as one.
+func TestBatchOfRequestsWithAPartThatCrashesServers(t *testing.T) {
+	r := newRig(t, 16)
+	assert.Equal(t, r.do(t, report(0, "aa:40")).status, http.StatusOK)
+	r.crashUnder("dead:")
+	for batch := range 2 {
+		var calls sync.WaitGroup
+		for i := range 6 {
+			calls.Go(func() {
+				if resp, err := r.try(t.Context(), report(10*(batch+1)+i, "aa:40,dead:40")); err == nil {
+					_ = resp.Body.Close()
+				}
+			})
+		}
+		calls.Wait()
+		r.recover(t)
+	}
+	runs := 0
+	for _, q := range r.received() {
+		if strings.Contains(q.Header.Get("Prefix-Hash"), "dead:") {
+			runs++
+		}
+	}
+	assert.Assert(t, runs <= 6, "the second batch reaches no server: %d", runs)
+	assert.Equal(t, r.guard.Quarantined(), 1)
+	assert.Equal(t, r.do(t, report(40, "aa:40")).status, http.StatusOK)
+}
+
 // TestStreamsThatWereGoingOnAreNotAccused guards against sound requests that are refused since their server crashed under another one.
 func TestStreamsThatWereGoingOnAreNotAccused(t *testing.T) {
 	r := newRig(t, 8)
