fix(front): large request bodies together take a bounded part of a host's memory

Cause: readBody bounded one body, not all of them, and grew its buffer in steps.

Change: large bodies take at most a quarter of the memory setting.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -26,8 +25,6 @@
 const (
 	// transientRetryAfter is the Retry-After of refusals whose cause usually passes within a second.
 	transientRetryAfter = 400 * time.Millisecond
-	// maxBodyBytes bounds request bodies unless the routing table sets a limit.
-	maxBodyBytes = 4 << 20
 	// defaultTimeout is the time limit of requests whose caller and route state none.
 	defaultTimeout = 60 * time.Second
 	// outputReserveTokens is the memory reserved for a run's next output: about three seconds of an engine's output.
@@ -73,12 +70,15 @@
 	Guard   Guard
 	Notices Notices
 	Meter   Meter
-	Log     *slog.Logger
+	// MaxBodiesBytes bounds the bytes of all large request bodies that the host holds; 0 means no bound.
+	MaxBodiesBytes int64
+	Log            *slog.Logger
 
 	keyAge atomic.Int64
 	// stop is set while the host is stopping.
 	stop   atomic.Pointer[stop]
 	aborts aborts
+	bodies memory
 	// buffered is the number of bytes of answers that are being read.
 	buffered atomic.Int64
 	active   sync.WaitGroup
@@ -89,13 +89,15 @@
 	*Front
 	Call
 
-	w         http.ResponseWriter
-	arrived   time.Time
-	method    string
-	target    string
-	host      string
-	body      []byte
-	hasBody   bool
+	w       http.ResponseWriter
+	arrived time.Time
+	method  string
+	target  string
+	host    string
+	body    []byte
+	hasBody bool
+	// bodyBytes is what the body takes of the memory for bodies.
+	bodyBytes int64
 	route     *policy.Route
 	service   *policy.Service
 	workspace *policy.Workspace
@@ -128,6 +130,7 @@
 	}
 	ctx, release := q.abortable(r.Context())
 	defer release()
+	defer func() { q.bodies.release(q.bodyBytes) }()
 	if err := q.admit(ctx, r); err != nil {
 		q.fail(err)
 		return
@@ -223,34 +226,6 @@
 	return timeout
 }
 
-func (q *request) readBody(ctx context.Context, r *http.Request, limits policy.Limits) error {
-	q.hasBody = r.ContentLength != 0
-	if !q.hasBody {
-		return nil
-	}
-	maxBytes := limits.BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = maxBodyBytes
-	}
-	control := http.NewResponseController(q.w)
-	_ = control.SetReadDeadline(q.deadline)
-	stopWaiting := context.AfterFunc(ctx, func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, r.Body, maxBytes))
-	if !stopWaiting() && errors.Is(context.Cause(ctx), errHostStopped) {
-		return retryable(refuse.CodeDraining, errHostStopped.Error())
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return refuse.New(refuse.CodeTooLarge, "the body is too large")
-	case err != nil:
-		return errors.Mark(errors.Wrap(err, "read body"), errCallerGone)
-	}
-	q.body = body
-	return nil
-}
-
 // requirements returns what the request needs of a backend server.
 func (q *request) requirements() pool.Requirements {
 	a := pool.Requirements{Service: q.service, Exclude: q.tried, Prompt: q.Prompt, Tokens: q.Prompt + outputReserveTokens}
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -57,6 +57,8 @@
 	// keyAgeFraction is the fraction of the configured key age at which keys are refused; the rest is for the time that a
 	// request takes to be decided.
 	keyAgeFraction = 0.88
+	// bodiesFraction is the fraction of the allowed memory for large request bodies.
+	bodiesFraction = 0.25
 	// coldOvercommit is the factor applied to a cold backend server's limit before the hosts divide it.
 	coldOvercommit = 1.1
 )
@@ -193,6 +195,7 @@
 		RoutingState: front.RoutingState{Tables: h, Pool: p},
 		HeaderCodec:  platform.HeaderCodec{}, Copies: platform.Engines{Heard: heardAt(p, n)},
 		Store: storeState{g, syncStatus}, Budget: b, Queue: w, Guard: t, Notices: n, Meter: m, Log: log,
+		MaxBodiesBytes: int64(bodiesFraction * float64(s.Platform.MemoryMB) * megabyte),
 	}
 	f.SetMaxKeyAge(keyAge(s))
 	return f
