fix(front): requests may arrive while a stop waits for the last ones

Front.active, a sync.WaitGroup, could be raised from zero while Front.Wait waited, which panics in a goroutine that nothing recovers.

Cause: requests arrive at any time, and a WaitGroup may not be reused before its Wait has returned.

Change: a counter of its own with a channel that is closed at zero.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,7 +80,7 @@
 	bodies memory
 	// buffered is the number of bytes of answers that are being read.
 	buffered atomic.Int64
-	active   sync.WaitGroup
+	active   active
 }
 
 // request is one request in progress.
@@ -120,7 +119,7 @@
 
 // ServeHTTP forwards a request and answers it.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.active.Add(1)
+	f.active.Add()
 	defer f.active.Done()
 	call := f.HeaderCodec.Decode(r)
 	q := &request{
@@ -262,7 +261,7 @@
 
 // checkForCrash checks in the background whether the request has crashed a backend server.
 func (q *request) checkForCrash(s pool.Server) {
-	q.active.Add(1)
+	q.active.Add()
 	q.guarded.Broke(context.Background(), crash.Server{ID: s.ID, Address: s.Address, StartedMS: s.StartedMS}, q.active.Done)
 }
 
@@ -275,14 +274,4 @@
 }
 
 // Wait blocks until no request is in progress or the context is done.
-func (f *Front) Wait(ctx context.Context) {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		f.active.Wait()
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-	}
-}
+func (f *Front) Wait(ctx context.Context) { f.active.wait(ctx) }
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -103,7 +103,7 @@
 		return
 	}
 	q.Pool.Sent(s.claim.Server.ID)
-	q.active.Add(1)
+	q.active.Add()
 	go func() {
 		defer q.active.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
