fix(gossip): a host that starts with an earlier time of day is heard again

A host whose clock was set back between two starts had its datagrams dropped by all others for as long as its clock was behind its earlier start.

Change: a lower incarnation counts once the later one has been silent for two heartbeats. If that was only silent, its next datagram counts again. The same holds for relays' summaries.

Evidence: TestHostWhoseClockWasSetBackIsHeardAgain fails before.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -30,6 +30,8 @@
 	heartbeat = time.Second
 	// unresponsiveAfter is the time without a digest after which a host's load is dropped; its requests have ended with it.
 	unresponsiveAfter = 2500 * time.Millisecond
+	// incarnationLapse is the time without a datagram after which an incarnation has ended: hosts that run send one each heartbeat.
+	incarnationLapse = 2 * heartbeat
 	// forgetAfter is the time without a digest after which a host no longer counts for divided budgets. A host that is
 	// partitioned off keeps spending its part until then.
 	forgetAfter = 60 * time.Second
@@ -351,12 +353,18 @@
 	p.region, p.domain, p.cores, p.lastSeen = d.Region, d.Domain, d.Cores, time.Now()
 }
 
+// isOutdated reports whether a datagram of an incarnation comes after one of a later incarnation, heard some time ago. A host whose
+// clock has been set back starts with a lower incarnation: that counts once the later one is silent.
+func isOutdated(incarnation, last int64, silentFor time.Duration) bool {
+	return incarnation < last && silentFor < incarnationLapse
+}
+
 // merge applies another host's digest unless it is older than the last one.
 func (g *Gossip) merge(d Digest, from netip.AddrPort) {
 	now := time.Now()
 	g.mu.Lock()
 	p := g.addPeer(d.Host, from)
-	if d.Incarnation < p.incarnation || d.Incarnation == p.incarnation && d.Sequence < p.sequence {
+	if isOutdated(d.Incarnation, p.incarnation, now.Sub(p.reportedAt)) || d.Incarnation == p.incarnation && d.Sequence < p.sequence {
 		g.mu.Unlock()
 		return
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -172,6 +172,28 @@
 	assert.Equal(t, g.Hosts(), 2, "an unresponsive host keeps its share of divided budgets until forgetAfter")
 }
 
+// TestHostWhoseClockWasSetBackIsHeardAgain guards against a host that starts anew with a lower incarnation and is ignored from then on.
+func TestHostWhoseClockWasSetBackIsHeardAgain(t *testing.T) {
+	g := New()
+	g.Self, g.Log = "a", slog.New(slog.DiscardHandler)
+	g.Pool, g.Crashes, g.Notices = &pool.Pool{}, &crash.Table{Log: g.Log}, &notice.Table{Log: g.Log}
+	g.Pool.Put(pool.Server{ID: "s1", Service: "model", Slots: 8}, time.Now())
+	from := netip.MustParseAddrPort("127.0.0.1:1")
+	receive := func(incarnation int64, sequence uint64, runs int) int {
+		g.merge(Digest{Host: "b", Incarnation: incarnation, Sequence: sequence, Loads: []ServerLoad{{Server: "s1", Runs: runs}}}, from)
+		for _, l := range g.Pool.Snapshot() {
+			return l.Runs
+		}
+		return -1
+	}
+	assert.Equal(t, receive(9000, 700, 3), 3)
+	assert.Equal(t, receive(5000, 1, 1), 3, "the later incarnation has just been heard")
+	g.peers["b"].reportedAt = time.Now().Add(-incarnationLapse)
+	assert.Equal(t, receive(5000, 2, 1), 1)
+	assert.Equal(t, receive(5000, 3, 2), 2)
+	assert.Equal(t, receive(9000, 701, 4), 4, "the later one was only silent")
+}
+
 func TestColdShare(t *testing.T) {
 	members := func(n int) []*Gossip {
 		var all []*Gossip
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -276,7 +276,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	p := g.addPeer(s.Host, from)
-	if s.Incarnation < p.summaryIncarnation || s.Incarnation == p.summaryIncarnation && s.Sequence <= p.summarySequence {
+	if isOutdated(s.Incarnation, p.summaryIncarnation, now.Sub(p.relayedAt)) || s.Incarnation == p.summaryIncarnation && s.Sequence <= p.summarySequence {
 		g.mu.Unlock()
 		return
 	}
