fix(cmds): a signal to reload never ends the process

SIGHUP had its default effect until the host served and in the last moments of a stop.

Cause: the activity that reloads the settings caught the signal, for as long as it ran.

Change: it is caught from the command's start until the process ends, also by hosts without a platform.

--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -43,6 +43,9 @@
 }
 
 func (c *serveCmd) run(cmd *cobra.Command, _ []string) error {
+	// The signal ends the process unless it is caught, also before the host serves and after it has stopped.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	settings, err := c.settings()
 	if err != nil {
 		return err
@@ -52,7 +55,7 @@
 		level = slog.LevelDebug
 	}
 	if settings.Platform != nil {
-		return c.serveSite(cmd, settings, level)
+		return c.serveSite(cmd, settings, level, reloads)
 	}
 	listeners, err := host.Listen(cmd.Context(), &settings)
 	if err != nil {
@@ -81,13 +84,13 @@
 }
 
 // serveSite runs an entry host on the users' platform, with its log on standard output.
-func (c *serveCmd) serveSite(cmd *cobra.Command, settings config.Settings, level slog.Level) error {
+func (c *serveCmd) serveSite(cmd *cobra.Command, settings config.Settings, level slog.Level, reloads <-chan os.Signal) error {
 	logWriter := logs.NewWriter(cmd.OutOrStdout())
 	s, err := site.Build(cmd.Context(), settings, logWriter, newLogger(logWriter, level))
 	if err != nil {
 		return err
 	}
-	s.Reload = c.settings
+	s.Reload, s.Reloads = c.settings, reloads
 	stop, abort, release := stopSignals(cmd.Context())
 	defer release()
 	return s.Run(stop, abort)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -6,10 +6,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,8 +50,9 @@
 type Site struct {
 	components
 
-	// Reload reads the settings again.
-	Reload func() (config.Settings, error)
+	// Reload reads the settings again, at each signal from Reloads.
+	Reload  func() (config.Settings, error)
+	Reloads <-chan os.Signal
 
 	isStopping atomic.Bool
 }
@@ -137,14 +136,11 @@
 	return table != nil && !s.isStopping.Load() && s.Pool.HasSynced()
 }
 
-// watchReload reloads the settings at each SIGHUP; only the key age takes effect.
+// watchReload reloads the settings at each signal; only the key age takes effect.
 func (s *Site) watchReload(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	for {
 		select {
-		case <-signals:
+		case <-s.Reloads:
 		case <-ctx.Done():
 			return nil
 		}
