--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -26,14 +26,14 @@
 
 // stop is the schedule of a stopping host.
 type stop struct {
-	// rerouted is when the load balancer has certainly stopped to select the host for new connections.
+	// rerouted is when the load balancer has stopped selecting the host, as long as enough other hosts are ready.
 	rerouted time.Time
 	// end is when the host aborts the requests still in progress.
 	end time.Time
 }
 
-// StopAt makes the host refuse new requests that may not be answered before end. Until rerouted, when callers have not been
-// able to avoid the host, plain requests are refused only if they would usually not be answered.
+// StopAt makes the host refuse new requests that may not be answered before end. Until rerouted, plain requests are taken
+// however long their time limit is: they usually take milliseconds, and their callers could not avoid the host.
 func (f *Front) StopAt(rerouted, end time.Time) { f.stop.Store(&stop{rerouted: rerouted, end: end}) }
 
 // checkStop refuses the request if the host may stop before its answer is complete.
--- a/internal/recall/recall.go
+++ b/internal/recall/recall.go
@@ -75,7 +75,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	all, err := k.Store.Load(ctx)
-	if !k.record(ctx, "load", err) {
+	if !k.record(ctx, err) {
 		return false
 	}
 	for _, s := range all {
@@ -91,32 +91,32 @@
 func (k *Keeper) save(ctx context.Context) {
 	quarantined, ended := k.Table.TakeUnsaved()
 	for _, e := range quarantined {
-		k.change(ctx, e.Key, "save", func(ctx context.Context) error { return k.Store.Save(ctx, Saved{At: time.Now(), Evidence: e}) })
+		k.change(ctx, e.Key, "quarantined key saved", func(ctx context.Context) error { return k.Store.Save(ctx, Saved{At: time.Now(), Evidence: e}) })
 	}
 	for _, key := range ended {
-		k.change(ctx, key, "remove", func(ctx context.Context) error { return k.Store.Remove(ctx, key) })
+		k.change(ctx, key, "quarantined key removed", func(ctx context.Context) error { return k.Store.Remove(ctx, key) })
 	}
 }
 
-// change makes one call that changes a key's entry; one that fails is made again later.
-func (k *Keeper) change(ctx context.Context, key uint64, what string, call func(context.Context) error) {
+// change makes one call that changes a key's entry, and logs done; a call that fails is made again later.
+func (k *Keeper) change(ctx context.Context, key uint64, done string, call func(context.Context) error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if !k.record(ctx, what, call(callCtx)) {
+	if !k.record(ctx, call(callCtx)) {
 		k.Table.MarkUnsaved(key)
 		return
 	}
-	k.Log.Info("quarantined key "+what+"d", "key", key)
+	k.Log.Info(done, "key", key)
 }
 
 // record counts and logs a failed call, and reports whether the call succeeded.
-func (k *Keeper) record(ctx context.Context, what string, err error) bool {
+func (k *Keeper) record(ctx context.Context, err error) bool {
 	if err == nil {
 		k.failures = 0
 		return true
 	}
 	if ctx.Err() == nil || k.failures == 0 {
-		k.Log.Info("store call failed", "kind", "quarantined keys", "call", what, "failures", k.failures, "error", err)
+		k.Log.Info("store call failed", "kind", "quarantined keys", "failures", k.failures, "error", err)
 	}
 	k.failures++
 	return false
