fix(front): a body without a length holds only the memory that it takes

Seen by callers: nothing yet; found when reading the diff. A chunked body above 64 KiB held the memory of the largest body until its request ended, so that few such requests at a time were taken.

Cause: the memory has to be taken before the size is known, and was not given back once it was.

Change: the rest is released after the body has been read.

Evidence: row "without a length, far below the limit" of TestLargeBodiesDoNotExceedTheHostsMemory: 3 of 12 requests with bodies of 100 KiB served before, 12 after.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -132,5 +132,7 @@
 	}
 	tail, err := io.ReadAll(body)
 	q.body = append(head, tail...)
+	q.bodies.release(rest - int64(len(tail)))
+	q.bodyBytes = int64(len(tail))
 	return err
 }
