--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -65,6 +65,17 @@
 	}}
 }
 
+// deadlyRuns returns the number of requests with the part dead that engines received.
+func (r *rig) deadlyRuns() int {
+	runs := 0
+	for _, q := range r.received() {
+		if strings.Contains(q.Header.Get("Prefix-Hash"), "dead:") {
+			runs++
+		}
+	}
+	return runs
+}
+
 func TestPartOfPromptsThatCrashesEveryServerReachesFew(t *testing.T) {
 	const sound, deadly = "aa:40,bb:40", "aa:40,bb:40,dead:40"
 	r := newRig(t, 8)
@@ -80,13 +91,7 @@
 		assert.Equal(t, r.do(t, report(20+i, sound)).status, http.StatusOK, "sound requests with the other parts go on")
 		r.later.Add(-int64(4 * time.Second))
 	}
-	runs := 0
-	for _, q := range r.received() {
-		if strings.Contains(q.Header.Get("Prefix-Hash"), "dead:") {
-			runs++
-		}
-	}
-	assert.Equal(t, runs, 2)
+	assert.Equal(t, r.deadlyRuns(), 2)
 	assert.Equal(t, r.guard.Quarantined(), 1)
 }
 
@@ -129,13 +134,7 @@
 				assert.Equal(t, r.do(t, report(20+i, "aa:40")).status, http.StatusOK, "sound requests with the other part go on")
 				r.later.Add(-int64(4 * time.Second))
 			}
-			runs := 0
-			for _, q := range r.received() {
-				if strings.Contains(q.Header.Get("Prefix-Hash"), "dead:") {
-					runs++
-				}
-			}
-			assert.Equal(t, runs, 2)
+			assert.Equal(t, r.deadlyRuns(), 2)
 			assert.Equal(t, r.guard.Quarantined(), 1)
 		})
 	}
@@ -158,12 +157,7 @@
 		calls.Wait()
 		r.recover(t)
 	}
-	runs := 0
-	for _, q := range r.received() {
-		if strings.Contains(q.Header.Get("Prefix-Hash"), "dead:") {
-			runs++
-		}
-	}
+	runs := r.deadlyRuns()
 	assert.Assert(t, runs <= 6, "the second batch reaches no server: %d", runs)
 	assert.Equal(t, r.guard.Quarantined(), 1)
 	assert.Equal(t, r.do(t, report(40, "aa:40")).status, http.StatusOK)
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -63,24 +61,12 @@
 	}
 }
 
-// logBuffer is an output of log lines.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *logBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
 // outcomes returns the outcomes in the lines of requests that ended.
-func (b *logBuffer) outcomes() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (r *logRecorder) outcomes() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var all []string
-	for line := range strings.Lines(b.text.String()) {
+	for line := range strings.Lines(r.text.String()) {
 		if _, rest, isEnd := strings.Cut(line, `msg="request ended"`); isEnd {
 			_, rest, _ = strings.Cut(rest, "outcome=")
 			outcome, _, _ := strings.Cut(rest, " ")
@@ -114,8 +100,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRig(t, 2)
 			r.fill(tc.runs == 0)
-			lines := &logBuffer{}
-			r.Log = slog.New(slog.NewTextHandler(lines, nil))
+			lines := r.recordLog()
 			for _, e := range r.engines {
 				e.Events, e.Script = 1000, tc.script
 			}
@@ -140,8 +125,7 @@
 // TestBodyThatIsReadAtTheEndOfAStopIsRefused checks that a caller that is still sending is told that nothing has run.
 func TestBodyThatIsReadAtTheEndOfAStopIsRefused(t *testing.T) {
 	r := newRig(t, 2)
-	lines := &logBuffer{}
-	r.Log = slog.New(slog.NewTextHandler(lines, nil))
+	lines := r.recordLog()
 	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", strings.TrimPrefix(r.server.URL, "http://"))
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
