--- a/internal/recall/recall_test.go
+++ b/internal/recall/recall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -147,3 +148,29 @@
 	eventually(t, "the entry to be removed", func() bool { return store.Count("quarantined-keys") == 0 })
 	assert.Equal(t, h.Quarantined(), 0)
 }
+
+// TestOddEntriesDoNoHarm checks entries that another writer may leave beside one of a host.
+func TestOddEntriesDoNoHarm(t *testing.T) {
+	store := plat.NewStore()
+	defer store.Close()
+	crashes := func(age string) string {
+		return `[{"server":"s1","age_ms":` + age + `},{"server":"s2","age_ms":` + age + `9}]`
+	}
+	for i, spec := range []string{
+		`{}`, `null`, `7`, `{"written_ms":"x"}`, `{"crashes":[{}]}`, `{"crashes":[null,null,null,null,null,null,null,null]}`,
+		`{"written_ms":9223372036854775807,"crashes":` + crashes("922337203685477580") + `}`,
+		`{"written_ms":-9223372036854775808,"crashes":` + crashes("1") + `}`,
+		`{"crashes":` + crashes("-5") + `,"trials":9223372036854775807,"trial_age_ms":9223372036854775807}`,
+		`{"written_ms":1e400,"crashes":[]}`,
+	} {
+		store.PutText("quarantined-keys", fmt.Sprintf("%016x", i+1), []byte(spec))
+	}
+	store.Put("quarantined-keys", "00000000000000ff", map[string]any{
+		"written_ms": time.Now().UnixMilli(), "answer_age_ms": -1, "trial_age_ms": -1,
+		"crashes": []map[string]any{{"server": "s1", "age_ms": 5000}, {"server": "s2", "age_ms": 1000}},
+	})
+	h := start(t, "h1", store)
+	eventually(t, "the sound entry to be read", func() bool { return h.Quarantined() > 0 })
+	assert.Equal(t, h.Quarantined(), 1)
+	assert.Assert(t, h.isQuarantined(crash.Keys{Whole: 0xff}))
+}
