--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -30,7 +30,8 @@
 	released chan struct{}
 }
 
-// acquire takes bytes of at most limit, waiting until ctx ends; 0 means no limit. A single body is never beyond it.
+// acquire takes a number of bytes within a limit, and waits for them until ctx ends; a limit of 0 means none. Where nothing else is
+// held, a body may exceed the limit.
 func (m *memory) acquire(ctx context.Context, bytes, limit int64) bool {
 	for {
 		m.mu.Lock()
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -25,7 +25,8 @@
 	// balancerDelay is how long the load balancer may still send new connections: until two readiness checks, one second
 	// apart, have failed.
 	balancerDelay = 3200 * time.Millisecond
-	// rerouteDelay is how long the load balancer selects a stopping host for new connections while other hosts are ready.
+	// rerouteDelay is the time from a stop after which callers usually reach other hosts. It has no reserve for slow checks, unlike
+	// balancerDelay: plain requests with a long time limit that come later are refused.
 	rerouteDelay = 2500 * time.Millisecond
 	// shutdownMargin is the part of the grace period reserved for the process to exit, abortTime that for requests that are
 	// aborted at the end to write their errors and log lines.
