--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -130,9 +130,12 @@
 		return
 	}
 	s.isOpening = true
-	overlap := s.boundOverlap(s.current)
-	s.current.overlap = overlap
-	metadata.OnConnected = func() { overlap.Reset(maxOverlap) }
+	source, overlap := s.current, s.boundOverlap(s.current)
+	source.overlap = overlap
+	metadata.OnConnected = func() {
+		source.copySentAt.Store(time.Now().UnixNano())
+		overlap.Reset(maxOverlap)
+	}
 	go func() {
 		f, err := s.openFromCopy(s.ctx, lease, metadata)
 		if err != nil {
@@ -146,7 +149,7 @@
 // time: it may be blocked by a slow caller.
 func (s *session) boundOverlap(source *upstream) *time.Timer {
 	timer := time.AfterFunc(math.MaxInt64, func() {
-		s.log.Info("source stopped before its copy made an event", "from", source.lease.Server.ID, "after", maxOverlap)
+		s.log.Info("source stopped before its copy made an event", "from", source.lease.Server.ID, "after", source.overlapped())
 		source.stop()
 	})
 	timer.Stop()
@@ -215,6 +218,7 @@
 		return false, nil
 	}
 	s.Meter.Resumed("moved")
+	s.log.Info("stream moved", "from", s.current.lease.Server.ID, "to", next.lease.Server.ID, "last_event", s.lastNumber, "overlap", s.current.overlapped())
 	s.request.close(s.current)
 	s.current = next
 	return s.handleItem(p)
@@ -229,7 +233,7 @@
 	}
 	broken.lease.RecordConnectionFailure(time.Now())
 	s.checkForCrash(broken.lease.Server)
-	s.log.Info("stream broke", "server", broken.lease.Server.ID, "last_event", s.lastNumber, "error", cause)
+	s.log.Info("stream broke", "server", broken.lease.Server.ID, "last_event", s.lastNumber, "silent_for", s.timing.sinceLast(time.Now()), "error", cause)
 	return s.replaceCurrent(cause)
 }
 
--- a/internal/front/timing.go
+++ b/internal/front/timing.go
@@ -25,6 +25,14 @@
 	p.last = now
 }
 
+// sinceLast returns the time since the last event; 0 before the first.
+func (p *eventTiming) sinceLast(now time.Time) time.Duration {
+	if p.last.IsZero() {
+		return 0
+	}
+	return now.Sub(p.last)
+}
+
 // logAttributes returns the timing as log attributes.
 func (p *eventTiming) logAttributes() []any {
 	return []any{"first_event", p.first, "longest_gap", p.gap, "gap_before", p.gapAt}
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,8 @@
 	cancel  context.CancelFunc
 	// overlap stops the run if its copy makes no event for a while; nil before a migration.
 	overlap *time.Timer
+	// copySentAt is when the copy's backend server received the request in Unix nanoseconds; 0 before.
+	copySentAt atomic.Int64
 	// stopped is closed when the run is stopped although the session has no other upstream yet.
 	stopped  chan struct{}
 	stopOnce sync.Once
@@ -55,6 +58,15 @@
 	f.cancel()
 }
 
+// overlapped returns for how long the run and its copy have had the request; 0 without a migration.
+func (f *upstream) overlapped() time.Duration {
+	sentAt := f.copySentAt.Load()
+	if sentAt == 0 {
+		return 0
+	}
+	return time.Since(time.Unix(0, sentAt))
+}
+
 // isStopped reports whether stop was called.
 func (f *upstream) isStopped() bool {
 	select {
