--- a/internal/fakes/plat/server.go
+++ b/internal/fakes/plat/server.go
@@ -57,6 +57,8 @@
 	Copies *CopyRegistry
 	// Script, if set, may respond to requests instead of the server.
 	Script Script
+	// IgnoresEnds makes the server go on with a stream whose caller has closed its connection.
+	IgnoresEnds bool
 	// Public is the address that others reach the server at, such as a proxy's; the zero value stands for Address.
 	Public netip.AddrPort
 
@@ -69,6 +71,8 @@
 	inProgress int
 	conns      map[net.Conn]bool
 	crashed    bool
+	// runs holds a channel for each run at work, by the attempt's ID; closing it stops the run.
+	runs map[string]chan struct{}
 	// renames counts the calls of Rename.
 	renames int
 }
@@ -302,33 +306,84 @@
 	}
 	closed := make(chan struct{})
 	go func() {
-		defer close(closed)
 		_, _ = br.ReadByte()
+		if !s.IgnoresEnds {
+			close(closed)
+		}
 	}()
+	stopped := s.begin(id)
+	defer s.end(id, stopped)
 	WriteStreamHeader(conn, r)
 	for n := first; n < s.Events; n++ {
-		if WriteChunk(conn, Event(id, n)) != nil {
+		if WriteChunk(conn, Event(id, n)) != nil && !s.IgnoresEnds {
 			return
 		}
 		select {
 		case <-time.After(s.Pause):
 		case <-closed:
 			return
+		case <-stopped:
+			return
 		}
 	}
 	_ = WriteChunk(conn, "")
 }
 
-// createCopy registers a copy on demand at the server and returns its handle.
+// begin registers a run at work and returns the channel that stops it.
+func (s *Server) begin(id string) chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs == nil {
+		s.runs = make(map[string]chan struct{})
+	}
+	stopped := make(chan struct{})
+	s.runs[id] = stopped
+	return stopped
+}
+
+// end removes a run at work unless another one has its place.
+func (s *Server) end(id string, stopped chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs[id] == stopped {
+		delete(s.runs, id)
+	}
+}
+
+// stop stops a run; it reports whether there was one.
+func (s *Server) stop(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stopped, found := s.runs[id]
+	if found {
+		close(stopped)
+		delete(s.runs, id)
+	}
+	return found
+}
+
+// IsAtWork reports whether the server works on a stream.
+func (s *Server) IsAtWork(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id] != nil
+}
+
+// createCopy registers a copy on demand at the server and returns its handle. With last, it stops the run first.
 func (s *Server) createCopy(conn net.Conn, r *Request) {
 	var body struct {
 		ID     string `json:"id"`
 		Target string `json:"target"`
+		Last   bool   `json:"last"`
 	}
 	if err := json.Unmarshal([]byte(r.Text), &body); err != nil {
 		Reply(conn, r, http.StatusBadRequest, "", "")
 		return
 	}
+	if body.Last && !s.stop(body.ID) {
+		Reply(conn, r, http.StatusNotFound, "", "")
+		return
+	}
 	handle := "h-" + body.ID
 	s.Copies.Add(s.PublicAddress().String() + "/" + handle)
 	Reply(conn, r, http.StatusOK, fmt.Sprintf(`{"kvHandle":%q,"created":1}`, handle), "Content-Type: application/json\r\n")
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -117,10 +118,13 @@
 }
 
 // put registers a backend server for the service that its index selects.
-func (r *rig) put(i int, draining bool) {
+func (r *rig) put(i int, draining bool) { r.putAt(i, r.engines[i].Address(), draining) }
+
+// putAt registers a backend server at the address of a path to it.
+func (r *rig) putAt(i int, address netip.AddrPort, draining bool) {
 	e := r.engines[i]
 	for _, service := range []string{"mill", "model"} {
-		s := pool.Server{ID: e.ID, Service: service, Address: e.Address(), Domain: "d1", Region: "east", Slots: 8, Draining: draining}
+		s := pool.Server{ID: e.ID, Service: service, Address: address, Domain: "d1", Region: "east", Slots: 8, Draining: draining}
 		if service == "mill" && len(r.engines) > 1 && i%2 == 0 || service == "model" && i%2 == 1 {
 			continue
 		}
