fix(front): a run has ended before it goes on elsewhere

Cause: wherever a stream left its backend server, the next one received the request first, and the run before was ended afterwards: by a timer of the same process in a live migration, or by the close of a connection that may not reach the server after a break. Class of fault: an effect that must come after another one is ordered by time, or by a message without an answer.

Change: order. A migration connects to the copy's server, closes its own end of the source's connection, forwards what still comes, and sends the request once the source has closed its end. After a break, or if that takes longer than 0.25 s, the source is asked to end the run and to copy its memory (kv-move with last); the stream goes on after a copy made thereby, or after the answer that there is no such run, or if nothing listens at the address. A source that answers otherwise keeps its run, and the stream is not sent elsewhere. One that can't be reached for 1.3 s is asked in the background for 10 s, so that the run ends soon after its path is back. A standby copy is used from 0.6 s after the run's first event on: before that it may not have arrived, and the source is not there any more if it is refused.

--- a/internal/cause/outcomes.go
+++ b/internal/cause/outcomes.go
@@ -54,6 +54,9 @@
 		return fmt.Sprintf("the host was stopped %.1f s before, and the stream lasted beyond the grace period: %s", end.At.Sub(l.At).Seconds(), end.Fields["error"])
 	}
 	broke, ok := q.lastLine("stream broke")
+	if ended, moved := q.lastLine("run has ended"); moved && (!ok || broke.At.Before(ended.At)) {
+		return fmt.Sprintf("backend server %s, which leaves, ended the run after event %s; %s", ended.Fields["server"], ended.Fields["last_event"], q.whyNotMoved(ended))
+	}
 	if !ok {
 		return "the stream ended at the host: " + end.Fields["error"]
 	}
@@ -62,6 +65,15 @@
 		server, broke.Fields["last_event"], q.whyBroke(server, broke), q.whyNotResumed(broke))
 }
 
+// whyNotMoved describes why the stream did not go on at the copy for which its run ended.
+func (q *analysis) whyNotMoved(ended Line) string {
+	if l, ok := q.lastLine("stream could not go on elsewhere"); ok && !l.At.Before(ended.At) {
+		q.addEvidence(l)
+		return "the copy at " + l.Fields["server"] + " could not go on: " + l.Fields["error"]
+	}
+	return "no line tells what became of its copy"
+}
+
 // whyBroke describes which notices of a backend server's shutdown the host or others had received.
 func (q *analysis) whyBroke(server string, broke Line) string {
 	from := q.requestLines[0].At.Add(-noticeWindow)
--- a/internal/fakes/plat/server.go
+++ b/internal/fakes/plat/server.go
@@ -57,6 +57,8 @@
 	Copies *CopyRegistry
 	// Script, if set, may respond to requests instead of the server.
 	Script Script
+	// BackupDelay is how long after a stream's start its standby copy is there.
+	BackupDelay time.Duration
 	// IgnoresEnds makes the server go on with a stream whose caller has closed its connection.
 	IgnoresEnds bool
 	// Public is the address that others reach the server at, such as a proxy's; the zero value stands for Address.
@@ -302,7 +304,12 @@
 	}
 	id := r.Header.Get("Attempt-Id")
 	if backup := r.Header.Get("Kv-Backup"); backup != "" {
-		s.Copies.Add(backup + "/" + id)
+		if s.BackupDelay > 0 {
+			timer := time.AfterFunc(s.BackupDelay, func() { s.Copies.Add(backup + "/" + id) })
+			defer timer.Stop()
+		} else {
+			s.Copies.Add(backup + "/" + id)
+		}
 	}
 	closed := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/internal/front/ending.go
@@ -0,0 +1,155 @@
+package front
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
+)
+
+const (
+	// unreachedInterval is the minimum time between two calls that end a run where the backend server is not reached, and moveInterval
+	// where it refuses.
+	unreachedInterval = 200 * time.Millisecond
+	moveInterval      = 50 * time.Millisecond
+	// moveTimeout bounds one such call. Copying the memory of a run takes up to a second.
+	moveTimeout = 1200 * time.Millisecond
+	// maxEndWait bounds how long a stream waits for the end of its run. Callers leave after a gap of 2 s.
+	maxEndWait = 1300 * time.Millisecond
+	// maxStopTime bounds how long a run is stopped in the background if its backend server could not be reached, in case the path
+	// comes back.
+	maxStopTime = 10 * time.Second
+)
+
+// errAtWork says that a run can't go on elsewhere, because its backend server works on it.
+var errAtWork = errors.New("the backend server still works on the run")
+
+// ending says what is known of the end of a run.
+type ending int
+
+const (
+	// endUnknown says that the backend server has not been reached.
+	endUnknown ending = iota
+	// endRefused says that the backend server was reached and may work on the run.
+	endRefused
+	// endMoved says that the backend server has ended the run and copied its memory.
+	endMoved
+	// endAbsent says that the backend server has no such run.
+	endAbsent
+	// endGone says that nothing listens at the backend server's address.
+	endGone
+)
+
+// String returns the ending as logged.
+func (e ending) String() string {
+	return [...]string{"unknown", "refused", "moved", "absent", "gone"}[e]
+}
+
+// isProof reports whether the run is certain to have ended.
+func (e ending) isProof() bool { return e >= endMoved }
+
+// moved is the result of ending a run.
+type moved struct {
+	ending ending
+	// copy is the copy that was made; empty without one.
+	copy Copy
+}
+
+// endRun asks a backend server once to end the run and to copy it to another one, unless it takes no more requests now.
+func (q *request) endRun(ctx context.Context, server pool.Server, to pool.Server) moved {
+	if q.Pool.WaitToResume(server.ID) > 0 {
+		return moved{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	q.Pool.Sent(server.ID)
+	began := time.Now()
+	made, err := q.Copies.Move(ctx, server.Address, q.ID, to.Address)
+	m := moved{ending: endingOf(err), copy: made}
+	q.log.Info("run asked to end", "server", server.ID, "to", to.ID, "ending", m.ending.String(), "took", time.Since(began), "error", err)
+	return m
+}
+
+// endingOf returns what the error of a call to end a run says.
+func endingOf(err error) ending {
+	switch {
+	case err == nil:
+		return endMoved
+	case errors.Is(err, ErrNoRun):
+		return endAbsent
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return endGone
+	case errors.Is(err, ErrRefused):
+		return endRefused
+	default:
+		return endUnknown
+	}
+}
+
+// awaitEnds waits until each backend server that may work on the request has ended it. It returns the copy at the next backend server
+// that was made thereby, if any, or errAtWork. A backend server that can't be reached is left after maxEndWait; the run is ended in the
+// background then.
+func (q *request) awaitEnds(ctx context.Context, next pool.Server) (Copy, error) {
+	servers := q.unended
+	q.unended = nil
+	if q.service.Engine == nil || !q.service.Engine.SupportsMigration {
+		return Copy{}, nil
+	}
+	var made Copy
+	for _, server := range servers {
+		began := time.Now()
+		m := q.endWithin(ctx, maxEndWait, server, next)
+		q.log.Info("end of the run awaited", "server", server.ID, "ending", m.ending.String(), "waited", time.Since(began))
+		switch {
+		case m.ending == endRefused:
+			return Copy{}, errors.Wrapf(errAtWork, "backend server %s", server.ID)
+		case m.ending == endUnknown:
+			q.endInBackground(server, next)
+		case m.copy.Name != "":
+			made = m.copy
+		}
+	}
+	return made, nil
+}
+
+// endWithin asks a backend server to end the run until it certainly has, or for a time. It returns the last result.
+func (q *request) endWithin(ctx context.Context, limit time.Duration, server, next pool.Server) moved {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		began := time.Now()
+		m := q.endRun(ctx, server, next)
+		if m.ending.isProof() {
+			return m
+		}
+		interval := moveInterval
+		if m.ending == endUnknown {
+			interval = max(moveInterval, unreachedInterval-time.Since(began))
+		}
+		if !ticks.Sleep(ctx, interval) {
+			return m
+		}
+	}
+}
+
+// endInBackground ends a run whose backend server could not be reached, in case the path to it comes back. A copy that is made thereby
+// is not needed.
+func (q *request) endInBackground(server, next pool.Server) {
+	q.active.Add()
+	go func() {
+		defer q.active.Done()
+		m := q.endWithin(context.Background(), maxStopTime, server, next)
+		if m.copy.Name == "" {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		if err := q.Copies.Free(ctx, m.copy.Address, m.copy.Name); err != nil {
+			q.log.Info("copy not freed", "server", server.ID, "copy", m.copy.Name, "error", err)
+		}
+	}()
+}
--- a/internal/front/explain_test.go
+++ b/internal/front/explain_test.go
@@ -105,6 +105,7 @@
 	}{
 		{
 			"A stream that was cut", func(t *testing.T, r *rig, rec *logRecorder) {
+				r.disableStandbyCopies()
 				for _, e := range r.engines {
 					e.Events, e.Pause = 60, 20*time.Millisecond
 					e.Script = func(conn net.Conn, q *plat.Request) bool {
@@ -133,6 +134,26 @@
 			"cut",
 			[]string{"broke the stream after event", "the host had heard", "before that it leaves", "its last copy", "failed"},
 		},
+		{
+			"A stream whose copy refused it", func(t *testing.T, r *rig, _ *logRecorder) {
+				for _, e := range r.engines {
+					e.Events, e.Pause = 60, 20*time.Millisecond
+					e.Script = func(conn net.Conn, q *plat.Request) bool {
+						if q.ResumesRun() {
+							plat.Reply(conn, q, http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n")
+						}
+						return q.ResumesRun()
+					}
+				}
+				done := make(chan reply)
+				go func() { done <- r.do(t, streamRequest("/report/x")) }()
+				first := r.runningEngine(t)
+				r.put(r.index(first), true)
+				<-done
+			},
+			"cut",
+			[]string{"ended the run after event", "the copy at", "could not go on", "status 503"},
+		},
 		{
 			"A stream that a stop cut", func(t *testing.T, r *rig, _ *logRecorder) {
 				for _, e := range r.engines {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -111,7 +111,9 @@
 	runs  atomic.Int32
 	sends atomic.Int32
 	tried []string
-	log   *slog.Logger
+	// unended are the backend servers that may still work on the request although the host has closed its connection to them.
+	unended []pool.Server
+	log     *slog.Logger
 }
 
 // SetMaxKeyAge sets the age of the routing table above which keys are no longer accepted; 0 means no bound.
@@ -255,7 +257,6 @@
 func (q *request) backendRequest(s ForwardMetadata) *send.Request {
 	return &send.Request{
 		Method: q.method, Target: q.target, Host: q.host, Header: q.HeaderCodec.Encode(q.Call, s), Body: q.body, HasBody: q.hasBody,
-		OnConnected: s.OnConnected,
 	}
 }
 
--- /dev/null
+++ b/internal/front/migrate.go
@@ -0,0 +1,230 @@
+package front
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/send"
+)
+
+const (
+	// endTimeout is how long a migrated run may take to end after its backend server has been told so over its connection. Between
+	// regions it takes 40 ms, and a lost packet takes another 200 ms.
+	endTimeout = 250 * time.Millisecond
+	// standbyTime is how long a run must have gone on until its standby copy counts on being there: the run ends before its copy is used.
+	standbyTime = 600 * time.Millisecond
+	// prefillWait bounds how long after a shutdown notice a migration waits until its target has finished pending prefills:
+	// these double the time between events. The shortest notices leave 1.5 s.
+	prefillWait = 900 * time.Millisecond
+)
+
+// handover is a migration in progress: a connection to the copy's backend server, on which the request is sent once the run has
+// ended at its source.
+type handover struct {
+	*claimedCopy
+
+	conn *send.Conn
+	// isEndDue fires when the source should have ended.
+	isEndDue *time.Timer
+	// toldAt is when the source was told to end.
+	toldAt time.Time
+}
+
+// connectResult is the result of connecting to a copy's backend server.
+type connectResult struct {
+	handover *handover
+	err      error
+}
+
+// checkServer migrates the run if its backend server is leaving, drops a copy whose backend server is leaving, and keeps a
+// precautionary copy while shutdown notices may be missed.
+func (s *session) checkServer() {
+	if s.current == nil {
+		return
+	}
+	server := s.current.lease.Server.ID
+	if s.Pool.IsLeaving(server) {
+		s.migrate(server)
+		return
+	}
+	s.dropLeavingStandby()
+	if s.Store.IsUnreachable() || s.Pool.IsRemovalPending(server) {
+		s.keepPrecautionaryCopy()
+		return
+	}
+	s.dropPrecautionaryCopy()
+}
+
+// migrate starts the live migration of the run while the leaving backend server still works: a connection to the copy's backend
+// server is opened first, so that the caller sees a short pause only.
+func (s *session) migrate(server string) {
+	if s.handover != nil || s.isConnecting || s.isCopying || s.resumes >= maxResumes {
+		return
+	}
+	if s.leavingSince.IsZero() {
+		s.leavingSince = time.Now()
+	}
+	s.dropLeavingStandby()
+	sb := s.current.standby
+	if sb == nil {
+		s.copyOnDemand(pool.Migration)
+		return
+	}
+	if sb.copiedAt.IsZero() && !s.current.hasRunFor(standbyTime, time.Now()) {
+		return
+	}
+	if time.Since(s.leavingSince) < prefillWait && s.Pool.PendingPromptTokens(sb.claim.Server.ID) > 0 {
+		return
+	}
+	if s.Pool.WaitToResume(sb.claim.Server.ID) > 0 {
+		return
+	}
+	s.leavingSince = time.Time{}
+	s.current.standby = nil
+	s.migrateTo(sb, server)
+}
+
+// migrateTo connects to the backend server of a copy.
+func (s *session) migrateTo(sb *standby, from string) {
+	if !s.Budget.Allow(s.service.Name, true) {
+		s.log.Info("live migration skipped: the retry budget is exhausted", "server", from)
+		s.discard(sb)
+		return
+	}
+	s.resumes++
+	s.log.Info("stream leaves its backend server", "from", from, "to", sb.claim.Server.ID, "last_event", s.lastNumber, "copy_age", sb.age())
+	claimed, err := s.claimCopy(sb)
+	if err != nil {
+		s.handleConnected(connectResult{err: err})
+		return
+	}
+	s.isConnecting = true
+	go func() {
+		conn, err := send.Connect(s.ctx, claimed.lease.Server.Address)
+		s.connectResults <- connectResult{handover: &handover{claimedCopy: claimed, conn: conn}, err: err}
+	}()
+}
+
+// handleConnected ends the run at its source, or logs why it can't go on elsewhere.
+func (s *session) handleConnected(c connectResult) {
+	if !s.keepConnected(c) {
+		return
+	}
+	h := s.handover
+	h.toldAt = time.Now()
+	h.isEndDue = time.NewTimer(endTimeout)
+	if s.current.isUnframed {
+		// Its end would look like a complete answer.
+		h.isEndDue.Reset(0)
+		return
+	}
+	if err := s.current.answer.EndRequest(); err != nil {
+		s.log.Info("run not told to end over its connection", "server", s.current.lease.Server.ID, "error", err)
+		h.isEndDue.Reset(0)
+	}
+}
+
+// keepConnected stores the connection to a copy's backend server, or logs why there is none.
+func (s *session) keepConnected(c connectResult) bool {
+	s.isConnecting = false
+	if c.err == nil {
+		s.handover = c.handover
+		return true
+	}
+	if c.handover != nil {
+		if s.ctx.Err() == nil {
+			c.handover.lease.RecordConnectionFailure(time.Now())
+		}
+		c.handover.lease.Release()
+	}
+	s.Meter.Resumed("refused")
+	s.log.Info("stream could not go on elsewhere", "error", c.err, "last_event", s.lastNumber)
+	return false
+}
+
+// endDue returns the channel that fires when the run's source should have ended; nil without a migration.
+func (s *session) endDue() <-chan time.Time {
+	if s.handover == nil {
+		return nil
+	}
+	return s.handover.isEndDue.C
+}
+
+// handleEndDue asks the backend server to end a run that has not ended in time. Until it has, its events are forwarded.
+func (s *session) handleEndDue() error {
+	h := s.handover
+	m := s.endRun(s.ctx, s.current.lease.Server, h.lease.Server)
+	switch {
+	case m.ending == endAbsent:
+		// The rest of its answer is on the way.
+		return nil
+	case !m.ending.isProof():
+		h.isEndDue.Reset(moveInterval)
+		return nil
+	case m.ending == endMoved:
+		s.useInstead(h.standby, m.copy)
+	}
+	s.current.isEnded = true
+	return s.goOnElsewhere(errors.Newf("the run was ended: %s", m.ending))
+}
+
+// useInstead replaces a copy by a newer one at the same backend server.
+func (s *session) useInstead(sb *standby, newer Copy) {
+	s.discard(&standby{claim: sb.claim, copy: sb.copy})
+	sb.copy, sb.copiedAt = newer, time.Now()
+}
+
+// dropHandover ends a migration that is not needed any more.
+func (s *session) dropHandover() {
+	h := s.handover
+	if h == nil {
+		return
+	}
+	s.handover = nil
+	h.conn.Close()
+	h.lease.Release()
+	if !h.standby.copiedAt.IsZero() {
+		s.discard(h.standby)
+	}
+}
+
+// hasEndedAsTold reports whether an error of the current upstream shows that its backend server has ended the run as it was told.
+func (s *session) hasEndedAsTold(err error) bool {
+	return s.handover != nil && !s.current.isUnframed && errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// claimedCopy is a copy that is about to be used, with the lease for the run.
+type claimedCopy struct {
+	standby *standby
+	lease   *pool.Lease
+}
+
+// claimCopy replaces a copy's memory claim by a lease for the run.
+func (s *session) claimCopy(sb *standby) (*claimedCopy, error) {
+	sb.releaseClaim()
+	lease, err := s.Pool.Claim(sb.claim.Server.ID, s.expectedTokens(), time.Now())
+	if err != nil {
+		return nil, err
+	}
+	if err := s.guarded.Send(s.ctx, lease.Server.ID); err != nil {
+		lease.Release()
+		s.discard(sb)
+		return nil, err
+	}
+	return &claimedCopy{standby: sb, lease: lease}, nil
+}
+
+// openFromCopy resumes the run from a copy over a connection; every answer other than a stream is an error.
+func (s *session) openFromCopy(ctx context.Context, c *claimedCopy, conn *send.Conn) (*upstream, error) {
+	metadata := s.forwardMetadata(c.lease.Server.ID)
+	metadata.ResumeFrom, metadata.LastEvent = c.standby.copy, s.lastEventID()
+	f, answer, err := s.openUpstream(ctx, c.lease, metadata, conn)
+	if answer != nil {
+		return nil, errors.Newf("backend server %s answered with status %d instead of a stream", c.lease.Server.ID, answer.status)
+	}
+	return f, err
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -24,24 +24,19 @@
 	maxResumes = 12
 )
 
-// openResult is the result of opening the next upstream while the current one continues.
-type openResult struct {
-	upstream *upstream
-	err      error
-}
-
 // session is one stream in progress. Only the handler's goroutine accesses its fields.
 type session struct {
 	*request
 	ctx context.Context
 
-	// current is the upstream that events are read from, next the one that replaces it at its first event.
-	current, next *upstream
-	// openResults and copyResults carry the results of the goroutines that run while isOpening and isCopying are set.
-	openResults chan openResult
-	isOpening   bool
-	copyResults chan copyResult
-	isCopying   bool
+	// current is the upstream that events are read from; handover is the migration in progress, nil without one.
+	current  *upstream
+	handover *handover
+	// connectResults and copyResults carry the results of the goroutines that run while isConnecting and isCopying are set.
+	connectResults chan connectResult
+	isConnecting   bool
+	copyResults    chan copyResult
+	isCopying      bool
 	// leavingSince is when a migration of the run became due; zero while none waits.
 	leavingSince time.Time
 	// nextCopyAt is the earliest time of the next copy on demand after a failed one.
@@ -63,7 +58,7 @@
 // stream answers a request with a stream of events.
 func (q *request) stream(ctx context.Context) error {
 	q.Budget.Arrived(q.service.Name)
-	s := &session{request: q, lastNumber: noEvent, openResults: make(chan openResult, 1), copyResults: make(chan copyResult, 1)}
+	s := &session{request: q, lastNumber: noEvent, connectResults: make(chan connectResult, 1), copyResults: make(chan copyResult, 1)}
 	if number, err := strconv.Atoi(q.LastEvent); err == nil {
 		s.lastNumber = number
 	}
@@ -102,7 +97,7 @@
 	s.tried = append(s.tried, lease.Server.ID)
 	metadata := s.forwardMetadata(lease.Server.ID)
 	metadata.LastEvent = s.lastEventID()
-	current, answer, err := s.openUpstream(s.ctx, lease, metadata)
+	current, answer, err := s.openUpstream(s.ctx, lease, metadata, nil)
 	s.current = current
 	return answer, err
 }
@@ -120,27 +115,18 @@
 	ticker := time.NewTicker(watchPeriod)
 	defer ticker.Stop()
 	for {
-		var next chan streamItem
-		if s.next != nil {
-			next = s.next.items
-		}
 		select {
 		case p := <-s.current.items:
 			isEnd, err := s.handleItem(p)
 			if isEnd || err != nil {
 				return err
 			}
-		case p := <-next:
-			isEnd, err := s.switchToNext(p)
-			if isEnd || err != nil {
-				return err
-			}
-		case o := <-s.openResults:
-			s.handleOpened(o)
+		case c := <-s.connectResults:
+			s.handleConnected(c)
 		case c := <-s.copyResults:
 			s.handleCopied(c)
-		case <-s.current.stopped:
-			if err := s.replaceStopped(); err != nil {
+		case <-s.endDue():
+			if err := s.handleEndDue(); err != nil {
 				return err
 			}
 		case <-ticker.C:
@@ -170,8 +156,6 @@
 		}
 		s.recordOutcome("answered", s.current.status, append(s.timing.logAttributes(), "late", s.timing.missedTarget(s.route), "server", s.current.lease.Server.ID, "last_event", s.lastNumber, "moves", s.resumes)...)
 		return true, nil
-	case p.err != nil && s.current.isStopped():
-		return false, s.replaceStopped()
 	case p.err != nil:
 		return false, s.resume(p.err)
 	default:
@@ -257,11 +241,10 @@
 
 func (s *session) close() {
 	s.request.close(s.current)
-	s.request.close(s.next)
-	if s.isOpening {
-		o := <-s.openResults
-		s.request.close(o.upstream)
+	if s.isConnecting {
+		s.keepConnected(<-s.connectResults)
 	}
+	s.dropHandover()
 	if s.isCopying {
 		c := <-s.copyResults
 		c.apply()
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
@@ -51,8 +53,6 @@
 	// ResumeFrom is the copy that the run is resumed from; empty for a new run.
 	ResumeFrom Copy
 	LastEvent  string
-	// OnConnected is called before the request is sent; may be nil.
-	OnConnected func()
 }
 
 // Reply holds the headers of an answer in decoded form.
@@ -80,12 +80,23 @@
 
 // Copies copies the engine memory of runs between backend servers.
 type Copies interface {
-	// Copy sends the memory of a run from backend server at to another one and returns the copy. The run continues meanwhile.
+	// Copy sends the memory of a run from backend server at to another one and returns the copy. The run continues meanwhile. Its errors
+	// may be ErrNoRun or ErrRefused.
 	Copy(ctx context.Context, at netip.AddrPort, run string, to netip.AddrPort) (Copy, error)
+	// Move is a Copy that ends the run first.
+	Move(ctx context.Context, at netip.AddrPort, run string, to netip.AddrPort) (Copy, error)
 	// Free deletes a copy that a backend server holds.
 	Free(ctx context.Context, at netip.AddrPort, name string) error
 }
 
+// Errors of Copies.
+var (
+	// ErrNoRun says that a backend server does not work on a run.
+	ErrNoRun = errors.New("backend server has no such run")
+	// ErrRefused says that a backend server refused a call; whether it works on the run is open.
+	ErrRefused = errors.New("backend server refused the call")
+)
+
 // RoutingState is the configuration and the backend servers that requests are routed by.
 type RoutingState struct {
 	Tables *policy.Holder
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -85,7 +85,7 @@
 		return nil, err
 	}
 	q.tried = append(q.tried, lease.Server.ID)
-	answer, err := q.exchange(ctx, lease, q.forwardMetadata(lease.Server.ID))
+	answer, err := q.exchange(ctx, lease, q.forwardMetadata(lease.Server.ID), nil)
 	if errors.Is(err, errNotRun) {
 		lease.RecordAnswer(true, time.Now())
 	}
@@ -135,10 +135,16 @@
 	}
 }
 
-// exchange sends the request to one backend server and returns its answer with the body unread, after checking that it
-// belongs to the request. Errors marked errNotRun are not yet recorded in the lease.
-func (q *request) exchange(ctx context.Context, lease *pool.Lease, s ForwardMetadata) (*send.Answer, error) {
-	answer, err := send.Open(ctx, lease.Server.Address, q.backendRequest(s))
+// exchange sends the request to one backend server, over a new connection if conn is nil, and returns its answer with the body
+// unread, after checking that it belongs to the request. Errors marked errNotRun are not yet recorded in the lease.
+func (q *request) exchange(ctx context.Context, lease *pool.Lease, s ForwardMetadata, conn *send.Conn) (*send.Answer, error) {
+	var answer *send.Answer
+	var err error
+	if conn == nil {
+		answer, err = send.Open(ctx, lease.Server.Address, q.backendRequest(s))
+	} else {
+		answer, err = conn.Send(ctx, q.backendRequest(s))
+	}
 	if err != nil {
 		return nil, q.handleSendError(ctx, lease, err)
 	}
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -6,8 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,38 +41,15 @@
 	// standby is the run's copy at another backend server; nil without one.
 	standby *standby
 	cancel  context.CancelFunc
-	// overlap stops the run if its copy makes no event for a while; nil before a migration.
-	overlap *time.Timer
-	// copySentAt is when the copy's backend server received the request in Unix nanoseconds; 0 before.
-	copySentAt atomic.Int64
-	// stopped is closed when the run is stopped although the session has no other upstream yet.
-	stopped  chan struct{}
-	stopOnce sync.Once
+	// answer is the answer that the events are read from.
+	answer *send.Answer
+	// isEnded is set once the run is certain to have ended.
+	isEnded bool
 }
 
-// stop stops the run at its backend server; the session replaces the upstream later.
-func (f *upstream) stop() {
-	f.stopOnce.Do(func() { close(f.stopped) })
-	f.cancel()
-}
-
-// overlapped returns for how long the run and its copy have had the request; 0 without a migration.
-func (f *upstream) overlapped() time.Duration {
-	sentAt := f.copySentAt.Load()
-	if sentAt == 0 {
-		return 0
-	}
-	return time.Since(time.Unix(0, sentAt))
-}
-
-// isStopped reports whether stop was called.
-func (f *upstream) isStopped() bool {
-	select {
-	case <-f.stopped:
-		return true
-	default:
-		return false
-	}
+// hasRunFor reports whether the run has gone on for a time since its first event.
+func (f *upstream) hasRunFor(least time.Duration, now time.Time) bool {
+	return !f.began.IsZero() && now.Sub(f.began) >= least
 }
 
 // standby is a copy of a run's memory at another backend server.
@@ -131,18 +106,27 @@
 	if f == nil {
 		return
 	}
-	if f.overlap != nil {
-		f.overlap.Stop()
-	}
 	f.cancel()
 	f.lease.Release()
 	q.discard(f.standby)
 }
 
-// openUpstream sends the request to a backend server. It returns the stream, or the full answer if the status is 300 or
-// more.
-func (q *request) openUpstream(ctx context.Context, lease *pool.Lease, s ForwardMetadata) (*upstream, *fullAnswer, error) {
-	f := &upstream{lease: lease, stopped: make(chan struct{})}
+// openUpstream sends the request to a backend server, over a new connection if conn is nil, once all others have ended it. It returns
+// the stream, or the full answer if the status is 300 or more.
+func (q *request) openUpstream(ctx context.Context, lease *pool.Lease, s ForwardMetadata, conn *send.Conn) (*upstream, *fullAnswer, error) {
+	f := &upstream{lease: lease}
+	made, err := q.awaitEnds(ctx, lease.Server)
+	if err != nil {
+		if conn != nil {
+			conn.Close()
+		}
+		lease.Release()
+		return nil, nil, err
+	}
+	if made.Name != "" {
+		s.ResumeFrom = made
+	}
+	s.Timeout = time.Until(q.deadline)
 	ctx, f.cancel = context.WithCancel(ctx)
 	if sb := q.chooseStandby(&lease.Server); sb != nil {
 		s.StandbyAddress = sb.claim.Server.Address
@@ -151,8 +135,11 @@
 	q.log.Info("stream sent", "server", lease.Server.ID, "domain", lease.Server.Domain, "backup", f.standby.serverID(),
 		"runs", lease.LoadBefore.Runs, "pending", lease.LoadBefore.PendingPromptTokens, "held", lease.LoadBefore.Tokens,
 		"from_copy", s.ResumeFrom.Name != "", "last_event", s.LastEvent, "tokens", q.Prompt, "output_hint", q.OutputHint)
-	answer, err := q.exchange(ctx, lease, s)
+	answer, err := q.exchange(ctx, lease, s, conn)
 	if err != nil {
+		if !errors.IsAny(err, send.ErrNotSent, errNotRun) {
+			q.unended = append(q.unended, lease.Server)
+		}
 		q.close(f)
 		return nil, nil, err
 	}
@@ -162,7 +149,7 @@
 		full, err := q.readAnswer(ctx, lease, answer)
 		return nil, full, err
 	}
-	f.header, f.status, f.isUnframed = answer.Header, answer.Status, answer.IsUnframed
+	f.answer, f.header, f.status, f.isUnframed = answer, answer.Header, answer.Status, answer.IsUnframed
 	f.items = make(chan streamItem, 8)
 	go f.read(ctx, answer)
 	return f, nil, nil
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -1,4 +1,4 @@
-// Package send sends a single request to a backend server over a new connection.
+// Package send sends a single request to a backend server over a connection of its own.
 package send
 
 import (
@@ -51,10 +51,14 @@
 	Body   []byte
 	// HasBody distinguishes an empty body from none.
 	HasBody bool
-	// OnConnected is called before the request is sent on its connection; may be nil.
-	OnConnected func()
 }
 
+// Conn is a connection to a backend server on which no request has been sent yet.
+type Conn struct{ conn net.Conn }
+
+// Close closes the connection.
+func (c *Conn) Close() { _ = c.conn.Close() }
+
 // Answer is a backend server's answer; its body is read from the connection.
 type Answer struct {
 	Status int
@@ -67,15 +71,23 @@
 	stopAfterFunc func() bool
 }
 
+// EndRequest closes the connection towards the backend server, which cancels the request there. The backend server closes its end once
+// the request has ended; until then the body has what it still sends.
+func (a *Answer) EndRequest() error {
+	if conn, ok := a.conn.(interface{ CloseWrite() error }); ok {
+		return errors.Wrap(conn.CloseWrite(), "end request")
+	}
+	return errors.New("the connection has no ends to close apart")
+}
+
 // Close closes the connection, which cancels the request at the backend server if it is still running.
 func (a *Answer) Close() {
 	a.stopAfterFunc()
 	_ = a.conn.Close()
 }
 
-// Open sends a request to a backend server and reads the status and headers of its answer. When ctx ends, even
-// while the body is read, the connection is closed. Errors are marked ErrNotSent, ErrBroken or ErrInvalidAnswer.
-func Open(ctx context.Context, to netip.AddrPort, r *Request) (*Answer, error) {
+// Connect opens a connection to a backend server. Errors are marked ErrNotSent.
+func Connect(ctx context.Context, to netip.AddrPort) (*Conn, error) {
 	dialer := net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
@@ -84,20 +96,32 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", to), ErrNotSent)
 	}
-	if r.OnConnected != nil {
-		r.OnConnected()
+	return &Conn{conn: conn}, nil
+}
+
+// Open sends a request to a backend server over a new connection, see Conn.Send. Errors may be marked ErrNotSent too.
+func Open(ctx context.Context, to netip.AddrPort, r *Request) (*Answer, error) {
+	conn, err := Connect(ctx, to)
+	if err != nil {
+		return nil, err
 	}
-	stopAfterFunc := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	answer, err := exchange(conn, r)
+	return conn.Send(ctx, r)
+}
+
+// Send sends a request and reads the status and headers of its answer. When ctx ends, even while the body is read, the connection
+// is closed. Errors are marked ErrBroken or ErrInvalidAnswer.
+func (c *Conn) Send(ctx context.Context, r *Request) (*Answer, error) {
+	stopAfterFunc := context.AfterFunc(ctx, c.Close)
+	answer, err := exchange(c.conn, r)
 	if err != nil {
 		stopAfterFunc()
-		_ = conn.Close()
+		c.Close()
 		if ctx.Err() != nil {
 			err = errors.CombineErrors(ctx.Err(), err)
 		}
 		return nil, err
 	}
-	answer.conn, answer.stopAfterFunc = conn, stopAfterFunc
+	answer.conn, answer.stopAfterFunc = c.conn, stopAfterFunc
 	return answer, nil
 }
 
