fix(front): a run does not go back to a backend server at which it is being ended

What callers would see: a stream that is cut, because the call that ends an earlier run at an unreachable backend server reaches it after the stream has come back there: both runs have the request's ID.

Cause: backend servers that could not be reached stayed eligible for copies and for new runs of the request.

Change: they get the request no more, neither its run nor its copy. Backend servers whose runs broke count as tried, also those of copies.

TestRunDoesNotGoBackToWhereItIsEnded failed before: the first backend server got the request a second time.

--- a/internal/front/copy.go
+++ b/internal/front/copy.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tarragonspur/tarragonspur/internal/pool"
@@ -71,7 +72,7 @@
 		return
 	}
 	a := s.requirements()
-	a.Exclude, a.Source, a.Tokens = s.copyRefusals, &s.current.lease.Server, s.expectedTokens()
+	a.Exclude, a.Source, a.Tokens = slices.Concat(s.copyRefusals, s.unreached), &s.current.lease.Server, s.expectedTokens()
 	claim, err := s.Pool.ChooseCopy(a, use, time.Now())
 	if err != nil {
 		if !s.hasNoCopyTarget {
--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
@@ -90,6 +91,14 @@
 	}
 }
 
+// addUnended records that a backend server may work on the request although its connection is closed.
+func (q *request) addUnended(server pool.Server) {
+	q.unended = append(q.unended, server)
+	if !slices.Contains(q.tried, server.ID) {
+		q.tried = append(q.tried, server.ID)
+	}
+}
+
 // awaitEnds waits until each backend server that may work on the request has ended it. It returns the copy at the next backend server
 // that was made thereby, if any, or errAtWork. A backend server that can't be reached is left after maxEndWait; the run is ended in the
 // background then.
@@ -108,6 +117,7 @@
 		case m.ending == endRefused:
 			return Copy{}, errors.Wrapf(errAtWork, "backend server %s", server.ID)
 		case m.ending == endUnknown:
+			q.unreached = append(q.unreached, server.ID)
 			q.endInBackground(server, next)
 		case m.copy.Name != "":
 			made = m.copy
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -113,7 +113,9 @@
 	tried []string
 	// unended are the backend servers that may still work on the request although the host has closed its connection to them.
 	unended []pool.Server
-	log     *slog.Logger
+	// unreached are those at which the run is ended in the background; they get the request no more, since that would end it too.
+	unreached []string
+	log       *slog.Logger
 }
 
 // SetMaxKeyAge sets the age of the routing table above which keys are no longer accepted; 0 means no bound.
--- a/internal/front/order_test.go
+++ b/internal/front/order_test.go
@@ -220,3 +220,33 @@
 	assert.Equal(t, got.text, fullStream(60))
 	assert.Equal(t, len(r.received()), 2, "the run went on elsewhere")
 }
+
+// TestRunDoesNotGoBackToWhereItIsEnded guards against a run that is ended by a call that was meant for an earlier one at the same backend
+// server.
+func TestRunDoesNotGoBackToWhereItIsEnded(t *testing.T) {
+	r, paths := newPathRig(t)
+	for _, e := range r.engines {
+		e.IgnoresEnds, e.Events = true, 130
+	}
+	next := table()
+	next.Version, next.Match("h.example", "/report/x").Timeout = 2, 6*time.Second
+	r.Tables.PutIfNewer(next)
+	ask := streamRequest("/report/x")
+	ask.headers["Deadline-Ms"] = "6000"
+	answers := make(chan reply, 1)
+	go func() { answers <- r.do(t, ask) }()
+	source := r.runningEngine(t)
+	time.Sleep(200 * time.Millisecond)
+	p := paths[r.index(source)]
+	p.isCut.Store(true)
+	p.breakConnections()
+	eventually(t, "the stream to go on elsewhere", func() bool { return len(r.received()) == 2 })
+	p.isCut.Store(false)
+	for i, e := range r.engines {
+		if e != source {
+			r.putAt(i, paths[i].address(), true)
+		}
+	}
+	<-answers
+	assert.Equal(t, len(r.received()), 2, "the first backend server got the request once more")
+}
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -39,7 +39,7 @@
 	s.current = nil
 	s.request.close(before)
 	if !before.isEnded {
-		s.unended = append(s.unended, before.lease.Server)
+		s.addUnended(before.lease.Server)
 	}
 	for ; s.resumes < maxResumes; s.resumes++ {
 		next, err := s.nextUpstream(sb)
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -138,7 +138,7 @@
 	answer, err := q.exchange(ctx, lease, s, conn)
 	if err != nil {
 		if !errors.IsAny(err, send.ErrNotSent, errNotRun) {
-			q.unended = append(q.unended, lease.Server)
+			q.addUnended(lease.Server)
 		}
 		q.close(f)
 		return nil, nil, err
@@ -192,7 +192,7 @@
 		return nil
 	}
 	a := q.requirements()
-	a.Exclude, a.Source = nil, source
+	a.Exclude, a.Source = q.unreached, source
 	claim, err := q.Pool.ChooseCopy(a, pool.Standby, time.Now())
 	if err != nil {
 		return nil
