fix(front): a broken run is not copied between regions to end it

Cause: the call that ends a run copied its memory to the next backend server, wherever that is.

Change: where that is another region, the call names the run's own server, which copies nothing and says whether it works on the run.

TestRunIsNotCopiedBetweenRegions failed before: the call named the server in the other region.

--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -60,13 +60,17 @@
 	copy Copy
 }
 
-// endRun asks a backend server once to end the run and to copy it to another one, unless it takes no more requests now.
+// endRun asks a backend server once to end the run and to copy it to another one, unless it takes no more requests now. Nothing is copied
+// between regions, where it would hold up all later copies: the backend server then only says whether it works on the run.
 func (q *request) endRun(ctx context.Context, server pool.Server, to pool.Server) moved {
 	if q.Pool.WaitToResume(server.ID) > 0 {
 		return moved{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
+	if to.Region != server.Region {
+		to = server
+	}
 	q.Pool.Sent(server.ID)
 	began := time.Now()
 	made, err := q.Copies.Move(ctx, server.Address, q.ID, to.Address)
--- a/internal/front/order_test.go
+++ b/internal/front/order_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
 )
 
 // path is the network path between a host and a backend server.
@@ -250,3 +252,25 @@
 	<-answers
 	assert.Equal(t, len(r.received()), 2, "the first backend server got the request once more")
 }
+
+// TestRunIsNotCopiedBetweenRegions guards against a copy over the link between two regions, which would hold up all others.
+func TestRunIsNotCopiedBetweenRegions(t *testing.T) {
+	r, paths := newPathRig(t)
+	answers := make(chan reply, 1)
+	go func() { answers <- r.do(t, streamRequest("/note/x")) }()
+	source := r.runningEngine(t)
+	for i, e := range r.engines {
+		if e != source && i%2 == 0 {
+			r.Pool.Put(pool.Server{ID: e.ID, Service: "model", Address: paths[i].address(), Domain: "d2", Region: "west", Slots: 8}, time.Now())
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	paths[r.index(source)].breakConnections()
+	got := <-answers
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.text, fullStream(60))
+	all := source.Requests()
+	last := all[len(all)-1]
+	assert.Equal(t, last.URL.Path, "/tarragonspur/kv-move")
+	assert.Assert(t, strings.Contains(last.Text, `"target":"`+paths[r.index(source)].address().String()+`"`), last.Text)
+}
