fix(front): a run that is at work stays where it is, also after the wait for its end

What callers' servers would see: two runs of one request at work. Found by the row 'from its copy' of TestRunThatIsAtWorkDoesNotGoOnElsewhere once its stream outlasted the wait (it passed before only because its deadline came first), and by reading.

Cause: the last call of the wait is cancelled by the wait's own limit, and its result, not reached, replaced the answer that the run is at work. Where any server may resume, a second try forgot the first one's answer.

Change: the last answer counts, and a backend server that works on the run stays recorded.

--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -113,12 +113,13 @@
 		return Copy{}, nil
 	}
 	var made Copy
-	for _, server := range servers {
+	for i, server := range servers {
 		began := time.Now()
 		m := q.endWithin(ctx, maxEndWait, server, next)
 		q.log.Info("end of the run awaited", "server", server.ID, "ending", m.ending.String(), "waited", time.Since(began))
 		switch {
 		case m.ending == endRefused:
+			q.unended = servers[i:]
 			return Copy{}, errors.Wrapf(errAtWork, "backend server %s", server.ID)
 		case m.ending == endUnknown:
 			q.unreached = append(q.unreached, server.ID)
@@ -130,22 +131,26 @@
 	return made, nil
 }
 
-// endWithin asks a backend server to end the run until it certainly has, or for a time. It returns the last result.
+// endWithin asks a backend server to end the run until it certainly has, or for a time. It returns the last answer.
 func (q *request) endWithin(ctx context.Context, limit time.Duration, server, next pool.Server) moved {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	var last moved
 	for {
 		began := time.Now()
 		m := q.endRun(ctx, server, next)
+		if m.ending != endUnknown {
+			last = m
+		}
 		if m.ending.isProof() {
-			return m
+			return last
 		}
 		interval := moveInterval
 		if m.ending == endUnknown {
 			interval = max(moveInterval, unreachedInterval-time.Since(began))
 		}
 		if !ticks.Sleep(ctx, interval) {
-			return m
+			return last
 		}
 	}
 }
--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -163,7 +163,7 @@
 		// The rest of its answer is on the way.
 		return nil
 	case !m.ending.isProof():
-		h.isEndDue.Reset(moveInterval)
+		h.isEndDue.Reset(endTimeout)
 		return nil
 	case m.ending == endMoved:
 		s.useInstead(h.standby, m.copy)
--- a/internal/front/order_test.go
+++ b/internal/front/order_test.go
@@ -185,25 +185,32 @@
 // TestRunThatIsAtWorkDoesNotGoOnElsewhere guards against a second run beside one of which its backend server does not say that it has
 // ended.
 func TestRunThatIsAtWorkDoesNotGoOnElsewhere(t *testing.T) {
-	r, paths := newPathRig(t)
-	for _, e := range r.engines {
-		e.IgnoresEnds = true
-		e.Script = func(conn net.Conn, q *plat.Request) bool {
-			isMove := q.URL.Path == "/tarragonspur/kv-move"
-			if isMove {
-				plat.Reply(conn, q, http.StatusServiceUnavailable, "", "")
+	for _, tc := range []struct{ name, path string }{
+		{"from its copy", "/report/x"},
+		{"where any server may resume", "/note/x"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, paths := newPathRig(t)
+			for _, e := range r.engines {
+				e.IgnoresEnds, e.Events = true, 130
+				e.Script = func(conn net.Conn, q *plat.Request) bool {
+					isMove := q.URL.Path == "/tarragonspur/kv-move"
+					if isMove {
+						plat.Reply(conn, q, http.StatusServiceUnavailable, "", "")
+					}
+					return isMove
+				}
 			}
-			return isMove
-		}
+			answers := make(chan reply, 1)
+			go func() { answers <- r.do(t, streamRequest(tc.path)) }()
+			source := r.runningEngine(t)
+			time.Sleep(200 * time.Millisecond)
+			paths[r.index(source)].breakConnections()
+			got := <-answers
+			assert.Assert(t, got.err != nil, "a partial stream must not look complete")
+			assert.Equal(t, len(r.received()), 1, "no other backend server has received the request")
+		})
 	}
-	answers := make(chan reply, 1)
-	go func() { answers <- r.do(t, streamRequest("/report/x")) }()
-	source := r.runningEngine(t)
-	time.Sleep(200 * time.Millisecond)
-	paths[r.index(source)].breakConnections()
-	got := <-answers
-	assert.Assert(t, got.err != nil, "a partial stream must not look complete")
-	assert.Equal(t, len(r.received()), 1, "no other backend server has received the request")
 }
 
 // TestYoungRunIsMigratedOnceItsCopyIsThere guards against a run that ends for a copy whose memory has not arrived yet.
