fix(front): large events of all streams together take a bounded part of a host's memory

What callers would see: faulty engines that send an event without end, or large events to callers that read slowly, make the host run out of memory; the requests of all callers at that host end with it.

Cause: one event was bounded by 1 MiB, but its buffer grew to twice that, up to ten complete events of a stream waited to be forwarded, and nothing bounded all streams together. A buffer once grown stayed for the rest of its stream.

Evidence: TestManyAnswersDoNotExceedTheHostsMemory, 200 streams at a time, failed before in both rows: 171 MiB were held for events of 900 KiB that don't end, 459 MiB for events of 200 KiB whose callers read none (the smallest hosts have 112 MB).

Buffers beyond 16 KiB are now taken of one memory for the answers of all requests, 16 MiB unless set; a stream that finds none is broken like one whose event is too large. The next event after one of more than 4 KiB is read after that one has been forwarded, and a grown buffer is released when it is empty. After: 17 MiB in the first row once the streams have settled, 27 to 39 MiB at most.

--- a/internal/flow/event.go
+++ b/internal/flow/event.go
@@ -8,24 +8,51 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrEventTooLarge says that an event exceeds the size limit of 1 MiB.
-var ErrEventTooLarge = errors.New("event is too large")
+// Errors of a Reader.
+var (
+	// ErrEventTooLarge says that an event exceeds the size limit of 1 MiB.
+	ErrEventTooLarge = errors.New("event is too large")
+	// ErrNoMemory says that a large event found no memory.
+	ErrNoMemory = errors.New("no memory for a large event")
+)
 
 const (
 	// maxEventBytes bounds one event.
 	maxEventBytes = 1 << 20
 	// readBytes is the buffer size of one read.
 	readBytes = 4 << 10
+	// smallBytes is the size up to which a buffer takes no memory of Memory.
+	smallBytes = 16 << 10
 )
 
+// Memory bounds the bytes that several readers hold.
+type Memory interface {
+	// Take takes a number of bytes; false if they aren't free.
+	Take(n int) bool
+	Release(n int)
+}
+
 // Reader splits a body into complete events. An event ends with an empty line.
 type Reader struct {
 	Body io.Reader
+	// Memory is where the buffer for large events is taken from; nil means no bound.
+	Memory Memory
 
 	buf     []byte
 	start   int
 	scanned int
-	err     error
+	// taken are the bytes taken of Memory.
+	taken int
+	err   error
+}
+
+// Close releases the buffer.
+func (r *Reader) Close() {
+	r.buf, r.start, r.scanned = nil, 0, 0
+	if r.taken > 0 {
+		r.Memory.Release(r.taken)
+		r.taken = 0
+	}
 }
 
 // Next returns the bytes of the next event with its closing empty line. The bytes are valid until the next call.
@@ -68,22 +95,39 @@
 
 // fill reads once from the body into the buffer, which it compacts and grows as needed.
 func (r *Reader) fill() {
-	if r.start > 0 {
+	switch {
+	case r.start == len(r.buf) && cap(r.buf) > smallBytes:
+		r.Close()
+	case r.start > 0:
 		r.scanned -= r.start
 		r.buf = append(r.buf[:0], r.buf[r.start:]...)
 		r.start = 0
 	}
 	have := len(r.buf)
-	if cap(r.buf)-have < readBytes {
-		grown := make([]byte, have, 2*cap(r.buf)+readBytes)
-		copy(grown, r.buf)
-		r.buf = grown
+	if cap(r.buf)-have < readBytes && !r.grow() {
+		r.err = ErrNoMemory
+		return
 	}
 	n, err := r.Body.Read(r.buf[have : have+readBytes])
 	r.buf = r.buf[:have+n]
 	r.err = err
 }
 
+// grow doubles the buffer; false if there is no memory for it.
+func (r *Reader) grow() bool {
+	size := 2*cap(r.buf) + readBytes
+	if more := size - smallBytes - r.taken; r.Memory != nil && more > 0 {
+		if !r.Memory.Take(more) {
+			return false
+		}
+		r.taken += more
+	}
+	grown := make([]byte, len(r.buf), size)
+	copy(grown, r.buf)
+	r.buf = grown
+	return true
+}
+
 // ID returns the ID of an event, or "" if it has none.
 func ID(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/internal/flow/event_test.go
+++ b/internal/flow/event_test.go
@@ -71,3 +71,35 @@
 		assert.Assert(t, whole <= len(body))
 	})
 }
+
+// pool is a Memory.
+type pool struct{ left int }
+
+func (p *pool) Take(n int) bool {
+	if n > p.left {
+		return false
+	}
+	p.left -= n
+	return true
+}
+
+func (p *pool) Release(n int) { p.left += n }
+
+func TestReadersShareTheMemoryForLargeEvents(t *testing.T) {
+	const memory = 2 << 20
+	p := &pool{left: memory}
+	large := strings.Repeat("x", 900<<10)
+	holding := Reader{Body: strings.NewReader(large + "\n\nsmall\n\n"), Memory: p}
+	_, err := holding.Next()
+	assert.NilError(t, err)
+	assert.Assert(t, p.left < memory)
+	refused := Reader{Body: strings.NewReader(large + large), Memory: p}
+	_, err = refused.Next()
+	assert.ErrorIs(t, err, ErrNoMemory)
+	small := Reader{Body: strings.NewReader("small\n\n"), Memory: &pool{}}
+	_, err = small.Next()
+	assert.NilError(t, err)
+	refused.Close()
+	holding.Close()
+	assert.Equal(t, p.left, memory)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -71,7 +71,9 @@
 	Meter   Meter
 	// MaxBodiesBytes bounds the bytes of all large request bodies that the host holds; 0 means no bound.
 	MaxBodiesBytes int64
-	Log            *slog.Logger
+	// MaxAnswersBytes bounds the bytes of all answers that the host holds, except the first of each; 0 means maxAnswersBytes.
+	MaxAnswersBytes int64
+	Log             *slog.Logger
 
 	keyAge atomic.Int64
 	// stop is set while the host is stopping.
@@ -80,7 +82,9 @@
 	bodies memory
 	// buffered is the number of bytes of answers that are being read.
 	buffered atomic.Int64
-	active   active
+	// answers is the number of bytes that answers take of the memory for them.
+	answers atomic.Int64
+	active  active
 }
 
 // request is one request in progress.
@@ -97,6 +101,8 @@
 	hasBody bool
 	// bodyBytes is what the body takes of the memory for bodies.
 	bodyBytes int64
+	// account is what its answers take of the memory for answers.
+	account   *account
 	route     *policy.Route
 	service   *policy.Service
 	workspace *policy.Workspace
@@ -125,8 +131,9 @@
 	q := &request{
 		Front: f, Call: call, w: w, arrived: time.Now(),
 		method: r.Method, target: r.RequestURI, host: r.Host,
-		log: f.Log.With("request", call.ID),
+		account: f.answerAccount(), log: f.Log.With("request", call.ID),
 	}
+	defer q.account.close()
 	ctx, release := q.abortable(r.Context())
 	defer release()
 	defer func() { q.bodies.release(q.bodyBytes) }()
--- /dev/null
+++ b/internal/front/memory_test.go
@@ -0,0 +1,147 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+	"github.com/tarragonspur/tarragonspur/internal/pool"
+)
+
+// stalledCaller is a caller that reads no byte of an answer's body until it leaves.
+type stalledCaller struct {
+	header http.Header
+	gone   <-chan struct{}
+}
+
+func (c *stalledCaller) Header() http.Header { return c.header }
+func (c *stalledCaller) WriteHeader(int)     {}
+func (c *stalledCaller) Write([]byte) (int, error) {
+	<-c.gone
+	return 0, io.ErrClosedPipe
+}
+
+// newCrowdRig returns a rig whose backend servers take any number of requests and answer with a text, after which they wait for the
+// end of the connection.
+func newCrowdRig(t *testing.T, answer string) *rig {
+	t.Helper()
+	text := []byte(answer)
+	r := newRig(t, 2)
+	next := table()
+	next.Version = 2
+	next.Services["model"].Engine.Slots, next.Services["model"].Engine.MemoryTokens = 1<<10, 1<<30
+	for _, path := range []string{"/book/", "/report/"} {
+		next.Match("h.example", path).Timeout = time.Minute
+	}
+	r.Tables.PutIfNewer(next)
+	for i, service := range []string{"model", "mill"} {
+		e := r.engines[i]
+		r.Pool.Put(pool.Server{ID: e.ID, Service: service, Address: e.Address(), Domain: "d1", Region: "east", Slots: 1 << 10}, time.Now())
+		e.Script = func(conn net.Conn, _ *plat.Request) bool {
+			_, _ = conn.Write(text)
+			_, _ = conn.Read(make([]byte, 1))
+			return true
+		}
+	}
+	return r
+}
+
+// heapInUse returns the bytes of live objects.
+func heapInUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// TestManyAnswersDoNotExceedTheHostsMemory guards against answers of which each is within its limit and which together take more memory
+// than the host has.
+func TestManyAnswersDoNotExceedTheHostsMemory(t *testing.T) {
+	const (
+		// requests is a number that the smallest hosts, of 112 MB, have in progress.
+		requests, memory = 200, 16 << 20
+		// eachBytes allows for the goroutines and buffers of a request, and for its caller and backend server in the same process.
+		eachBytes = 64 << 10
+		// maxHeld allows for the earlier buffers of answers that grow, until the garbage collector runs.
+		maxHeld = 2*memory + requests*eachBytes
+		ok      = "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nResponse-Signature: s1\r\n"
+	)
+	events := strings.Repeat("id: 0\ndata: "+strings.Repeat("x", 200<<10)+"\n\n", 10)
+	for _, tc := range []struct{ name, path, answer string }{
+		{"stream, event without end", "/report/x", ok + "\r\nid: 0\ndata: " + strings.Repeat("x", 900<<10)},
+		{"stream, large events for callers that read none", "/report/x", ok + "\r\n" + events},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newCrowdRig(t, tc.answer)
+			r.MaxAnswersBytes = memory
+			before := heapInUse()
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			var callers sync.WaitGroup
+			var ended atomic.Int64
+			for n := range requests {
+				callers.Go(func() {
+					defer func() {
+						ended.Add(1)
+						if cut := recover(); cut != nil {
+							err, _ := cut.(error)
+							assert.Check(t, errors.Is(err, http.ErrAbortHandler), "%v", cut)
+						}
+					}()
+					req := httptest.NewRequestWithContext(ctx, http.MethodPost, tc.path, nil)
+					req.Host = "h.example"
+					for name, value := range map[string]string{
+						"Attempt-Id": attempt, "Key": "k1", "Deadline-Ms": "60000", "Token-Usage": "80,16", "Prefix-Hash": fmt.Sprint(n),
+					} {
+						req.Header.Set(name, value)
+					}
+					r.ServeHTTP(&stalledCaller{header: make(http.Header), gone: ctx.Done()}, req)
+				})
+			}
+			most := int64(0)
+			for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				most = max(most, heapInUse()-before)
+			}
+			received := len(r.received())
+			leave()
+			callers.Wait()
+			t.Logf("%d MiB held, %d requests sent, %d ended", most>>20, received, ended.Load())
+			assert.Assert(t, received > requests/2, "%d requests sent", received)
+			assert.Assert(t, most < maxHeld, "%d MiB held", most>>20)
+		})
+	}
+}
+
+// TestLargeEventsAreForwardedWhole checks streams whose events are around the sizes at which they are read in another way, one after
+// the other, so that each finds the memory of the ones before.
+func TestLargeEventsAreForwardedWhole(t *testing.T) {
+	var events strings.Builder
+	for n, size := range []int{1, 4 << 10, 900 << 10, 2, 5 << 10, 900 << 10, 900 << 10, 16 << 10, 3} {
+		fmt.Fprintf(&events, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", size))
+	}
+	r := newRig(t, 2)
+	r.MaxAnswersBytes = 2 << 20
+	r.engines[0].Script = func(conn net.Conn, _ *plat.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: "+attempt+"\r\nResponse-Signature: s1\r\n\r\n"+events.String())
+		return true
+	}
+	for range 20 {
+		got := r.do(t, callerRequest{method: http.MethodPost, path: "/report/x", key: "k1", headers: map[string]string{"Token-Usage": "80,16"}})
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Assert(t, got.text == events.String())
+	}
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -153,6 +153,9 @@
 
 // handleItem forwards an item of the current upstream; it reports whether the stream is complete.
 func (s *session) handleItem(p streamItem) (bool, error) {
+	if p.forwarded != nil {
+		defer close(p.forwarded)
+	}
 	switch {
 	case errors.Is(p.err, io.EOF) && s.started && s.current.began.IsZero() && s.current.header.Get("Content-Type") != s.contentType:
 		return false, s.resume(errors.New("an answer that is no stream came in its place"))
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -17,6 +17,13 @@
 	"github.com/tarragonspur/tarragonspur/internal/send"
 )
 
+const (
+	// queuedEvents is the number of events that wait to be forwarded.
+	queuedEvents = 8
+	// maxQueuedEventBytes bounds an event that is queued; the next event after a larger one is read after that one has been forwarded.
+	maxQueuedEventBytes = 4 << 10
+)
+
 // freeTimeout bounds the call that deletes a copy; a copy that is not deleted expires by itself.
 const freeTimeout = time.Second
 
@@ -28,6 +35,8 @@
 	event  []byte
 	number int
 	err    error
+	// forwarded is closed once the event has been forwarded; nil if the reader does not wait for that.
+	forwarded chan struct{}
 }
 
 // upstream is a stream's connection to one backend server.
@@ -163,15 +172,16 @@
 		return nil, full, err
 	}
 	f.header, f.status, f.isUnframed = answer.Header, answer.Status, answer.IsUnframed
-	f.items = make(chan streamItem, 8)
-	go f.read(ctx, answer)
+	f.items = make(chan streamItem, queuedEvents)
+	go f.read(ctx, answer, q.account)
 	return f, nil, nil
 }
 
 // read sends events to the channel until the stream or the context ends.
-func (f *upstream) read(ctx context.Context, answer *send.Answer) {
+func (f *upstream) read(ctx context.Context, answer *send.Answer, memory flow.Memory) {
 	defer answer.Close()
-	events := flow.Reader{Body: answer.Body}
+	events := flow.Reader{Body: answer.Body, Memory: memory}
+	defer events.Close()
 	for hasEvent := false; ; hasEvent = true {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && answer.IsUnframed && !hasEvent {
@@ -180,7 +190,12 @@
 		}
 		p := streamItem{number: noEvent, err: err}
 		if err == nil {
-			p.event = bytes.Clone(event)
+			if len(event) <= maxQueuedEventBytes {
+				event = bytes.Clone(event)
+			} else {
+				p.forwarded = make(chan struct{})
+			}
+			p.event = event
 			p.number, err = strconv.Atoi(flow.ID(event))
 			if err != nil {
 				p.err = errors.Wrap(err, "read event ID")
@@ -194,6 +209,14 @@
 		if p.err != nil {
 			return
 		}
+		if p.forwarded == nil {
+			continue
+		}
+		select {
+		case <-p.forwarded:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
