fix(send): long heads of answers together take a bounded part of a host's memory

What callers would see: faulty engines that send many short header lines make the host run out of memory; the requests of all callers at that host end with it.

Cause: a head was bounded by 64 KiB, but each name and value takes some 100 bytes beside its own, so that a head of short lines took 1 MiB, for as long as its request or stream lasted, and nothing bounded all heads together.

Evidence: TestManyAnswersDoNotExceedTheHostsMemory, 200 requests at a time, failed before in two new rows: 193 MiB were held for heads without end that had sent 60 KiB, 137 MiB for streams with such a head (the smallest hosts have 112 MB).

What a head takes beyond 16 KiB, its lines included, now comes from the memory for answers; a head that finds none is no valid answer, and its caller is told that the request may have run. After: 12 and 7 MiB. TestHeadsShareMemory shows that long heads pass while memory is free, and that lines in the body do not count.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -262,7 +262,7 @@
 func (q *request) backendRequest(s ForwardMetadata) *send.Request {
 	return &send.Request{
 		Method: q.method, Target: q.target, Host: q.host, Header: q.HeaderCodec.Encode(q.Call, s), Body: q.body, HasBody: q.hasBody,
-		OnConnected: s.OnConnected,
+		OnConnected: s.OnConnected, Memory: q.account,
 	}
 }
 
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -39,8 +40,21 @@
 	maxHeadBytes = 64 << 10
 	// inlineBodyBytes is the largest body that is written before the answer is read.
 	inlineBodyBytes = 16 << 10
+	// headReadBytes bounds one read of a head. The last read is not counted, because it may contain bytes of the body.
+	headReadBytes = 1 << 10
+	// headerCostBytes is what the name and the value of a header take beside their bytes.
+	headerCostBytes = 128
+	// smallHeadBytes is what a head may take in memory that is not taken from Request.Memory.
+	smallHeadBytes = 16 << 10
 )
 
+// Memory bounds the bytes that long heads of several answers take together.
+type Memory interface {
+	// Take takes a number of bytes; false if they aren't free.
+	Take(n int) bool
+	Release(n int)
+}
+
 // Request is an HTTP request to a backend server.
 type Request struct {
 	Method string
@@ -53,6 +67,8 @@
 	HasBody bool
 	// OnConnected is called before the request is sent on its connection; may be nil.
 	OnConnected func()
+	// Memory is where a long head of the answer is taken from, and left to the caller if there is an answer; nil means no bound.
+	Memory Memory
 }
 
 // Answer is a backend server's answer; its body is read from the connection.
@@ -116,11 +132,12 @@
 			}
 		}()
 	}
-	limited := &headReader{conn: conn, left: maxHeadBytes}
+	limited := &headReader{conn: conn, left: maxHeadBytes, memory: r.Memory}
 	br := bufio.NewReaderSize(limited, readBufferBytes)
 	for {
 		resp, err := http.ReadResponse(br, &http.Request{Method: r.Method}) //nolint:bodyclose // Answer.Close ends the connection, and the body with it
 		if err != nil {
+			limited.release()
 			return nil, readError(err)
 		}
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
@@ -137,6 +154,9 @@
 	conn   net.Conn
 	left   int
 	isBody bool
+	memory Memory
+	// cost is what the head takes in memory, taken the part of it that is taken from memory.
+	cost, taken int
 }
 
 // Read implements io.Reader.
@@ -147,11 +167,34 @@
 	if r.left <= 0 {
 		return 0, errors.Newf("head of the answer exceeds %d bytes", maxHeadBytes)
 	}
-	n, err := r.conn.Read(p[:min(len(p), r.left)])
+	if !r.take() {
+		return 0, errors.Newf("no memory for a head of more than %d bytes", maxHeadBytes-r.left)
+	}
+	n, err := r.conn.Read(p[:min(len(p), r.left, headReadBytes)])
 	r.left -= n
+	r.cost += 2*n + headerCostBytes*bytes.Count(p[:n], []byte{'\n'})
 	return n, err
 }
 
+// take takes memory for what has been read.
+func (r *headReader) take() bool {
+	more := r.cost - smallHeadBytes - r.taken
+	if r.memory == nil || more <= 0 {
+		return true
+	}
+	if !r.memory.Take(more) {
+		return false
+	}
+	r.taken += more
+	return true
+}
+
+func (r *headReader) release() {
+	if r.taken > 0 {
+		r.memory.Release(r.taken)
+	}
+}
+
 // readError marks an error as ErrBroken if the connection failed, else as ErrInvalidAnswer.
 func readError(err error) error {
 	var netErr net.Error
