fix(front): buffered answers count until they have been passed on

What callers would see: large answers, of faulty servers or for callers that read slowly, make the host run out of memory; the requests of all callers at that host end with it.

Cause: an answer counted only while it was read, not while it waited for its caller or for another attempt; the first 64 KiB never counted, and buffers that doubled held up to twice what counted. The bound did not depend on the host's memory.

Evidence: TestManyAnswersDoNotExceedTheHostsMemory, 200 requests at a time, failed before in two new rows: 236 MiB were held for plain answers of 1 MiB whose callers read none of them, 305 MiB for failures of that size in place of streams (the smallest hosts have 112 MB).

Answers are now read in parts without doubling; what they take beyond 16 KiB comes from the memory for answers, which events and heads share, until the request ends. It is 15 % of the memory that the host's settings allow. An answer that finds none waits for it up to 0.6 s, so that sound answers are passed on one after the other (TestLargeAnswersWaitForMemory, which passed before too); up to 1 MiB of a stated length is taken at once, so that answers don't wait for each other. A caller whose answer found none is told that its request may have run. After: 24 and 22 MiB.

--- a/internal/front/account.go
+++ b/internal/front/account.go
@@ -1,8 +1,8 @@
 package front
 
 import (
+	"context"
 	"sync"
-	"sync/atomic"
 )
 
 // maxAnswersBytes is the default of Front.MaxAnswersBytes.
@@ -10,9 +10,9 @@
 
 // account is what the answers to one request take of the memory for answers.
 type account struct {
-	// total are the bytes taken by all requests, which the limit bounds.
-	total *atomic.Int64
-	limit int64
+	// memory is what all requests share, within the limit.
+	memory *memory
+	limit  int64
 
 	mu       sync.Mutex
 	taken    int64
@@ -25,21 +25,32 @@
 	if limit <= 0 {
 		limit = maxAnswersBytes
 	}
-	return &account{total: &f.answers, limit: limit}
+	return &account{memory: &f.answers, limit: limit}
 }
 
 // Take takes a number of bytes; false if they aren't free.
 func (a *account) Take(n int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.isClosed {
+	if a.isClosed || !a.memory.take(int64(n), a.limit) {
 		return false
 	}
-	if a.total.Add(int64(n)) > a.limit {
-		a.total.Add(-int64(n))
+	a.taken += int64(n)
+	return true
+}
+
+// acquire is a Take that waits until the bytes are free or ctx ends.
+func (a *account) acquire(ctx context.Context, n int64) bool {
+	if !a.memory.acquire(ctx, n, a.limit) {
 		return false
 	}
-	a.taken += int64(n)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.isClosed {
+		a.memory.release(n)
+		return false
+	}
+	a.taken += n
 	return true
 }
 
@@ -49,7 +60,7 @@
 	defer a.mu.Unlock()
 	if !a.isClosed {
 		a.taken -= int64(n)
-		a.total.Add(-int64(n))
+		a.memory.release(int64(n))
 	}
 }
 
@@ -58,5 +69,5 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.isClosed = true
-	a.total.Add(-a.taken)
+	a.memory.release(a.taken)
 }
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -22,7 +22,7 @@
 	maxBodyWait = 600 * time.Millisecond
 )
 
-// memory bounds the bytes of large request bodies that the host holds.
+// memory bounds the bytes of large request bodies, or of large answers, that the host holds.
 type memory struct {
 	mu   sync.Mutex
 	held int64
@@ -35,8 +35,7 @@
 func (m *memory) acquire(ctx context.Context, bytes, limit int64) bool {
 	for {
 		m.mu.Lock()
-		if limit <= 0 || m.held == 0 || m.held+bytes <= limit {
-			m.held += bytes
+		if m.takeLocked(bytes, limit) {
 			m.mu.Unlock()
 			return true
 		}
@@ -53,6 +52,21 @@
 	}
 }
 
+// take is an acquire that does not wait.
+func (m *memory) take(bytes, limit int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.takeLocked(bytes, limit)
+}
+
+func (m *memory) takeLocked(bytes, limit int64) bool {
+	if limit > 0 && m.held > 0 && m.held+bytes > limit {
+		return false
+	}
+	m.held += bytes
+	return true
+}
+
 func (m *memory) release(bytes int64) {
 	if bytes == 0 {
 		return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -77,13 +77,10 @@
 
 	keyAge atomic.Int64
 	// stop is set while the host is stopping.
-	stop   atomic.Pointer[stop]
-	aborts aborts
-	bodies memory
-	// buffered is the number of bytes of answers that are being read.
-	buffered atomic.Int64
-	// answers is the number of bytes that answers take of the memory for them.
-	answers atomic.Int64
+	stop    atomic.Pointer[stop]
+	aborts  aborts
+	bodies  memory
+	answers memory
 	active  active
 }
 
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -1,10 +1,10 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,16 +23,23 @@
 	maxSends = 4
 	// maxAnswerBytes bounds an answer that is buffered before it is passed on.
 	maxAnswerBytes = 8 << 20
-	// maxBufferedBytes bounds the bytes of all answers that are being read, except the first answerChunkBytes of each.
-	maxBufferedBytes = 16 << 20
-	answerChunkBytes = 64 << 10
+	// smallAnswerBytes of each answer are read whatever other answers take of the memory for answers.
+	smallAnswerBytes = 16 << 10
+	// minChunkBytes and maxChunkBytes bound the parts in which an answer is read.
+	minChunkBytes = 4 << 10
+	maxChunkBytes = 64 << 10
+	// maxReservedBytes is the part of an answer's stated length that its memory is taken for at once, so that answers with a part of
+	// their memory don't wait for each other.
+	maxReservedBytes = 1 << 20
+	// maxMemoryWait bounds how long an answer waits for memory.
+	maxMemoryWait = 600 * time.Millisecond
 )
 
 // fullAnswer is an answer whose body has been read completely.
 type fullAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   [][]byte
 	server string
 }
 
@@ -109,30 +116,86 @@
 	}
 }
 
-// readAnswer reads the body of an answer and records the outcome in the lease. A backend server may crash within an answer.
+// readAnswer reads the body of an answer and records the outcome in the lease. A backend server may crash within an answer. The
+// body's memory is released when the request ends.
 func (q *request) readAnswer(ctx context.Context, lease *pool.Lease, answer *send.Answer) (*fullAnswer, error) {
-	held := int64(0)
-	defer func() { q.buffered.Add(-held) }()
-	var body bytes.Buffer
+	full := &fullAnswer{status: answer.Status, header: answer.Header, server: lease.Server.ID}
+	size, allowed, length := 0, smallAnswerBytes, statedLength(answer.Header)
 	for {
-		n, err := io.CopyN(&body, answer.Body, answerChunkBytes)
-		held += n
-		buffered := q.buffered.Add(n)
+		chunk := make([]byte, chunkSize(size, length))
+		var err error
+		if more := size + len(chunk) - allowed; more > 0 {
+			more = max(more, min(length+1, maxReservedBytes)-allowed)
+			err = q.waitForMemory(ctx, more)
+			if err == nil {
+				allowed += more
+			}
+		}
+		if err == nil {
+			var n int
+			n, err = readChunk(answer.Body, chunk)
+			size += n
+			full.body = append(full.body, chunk[:n])
+			if err != nil && !errors.Is(err, io.EOF) && ctx.Err() == nil {
+				q.checkForCrash(lease.Server)
+			}
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			lease.RecordAnswer(answer.Status >= http.StatusInternalServerError, time.Now())
 			q.guarded.Answered()
-			return &fullAnswer{status: answer.Status, header: answer.Header, body: body.Bytes(), server: lease.Server.ID}, nil
-		case err != nil && ctx.Err() == nil:
-			q.checkForCrash(lease.Server)
-		case err == nil && (body.Len() > maxAnswerBytes || body.Len() > answerChunkBytes && buffered > maxBufferedBytes):
-			err = errors.Newf("answer exceeds %d bytes, or all answers in progress exceed %d", maxAnswerBytes, maxBufferedBytes)
+			return full, nil
+		case err == nil && size > maxAnswerBytes:
+			err = errors.Newf("answer exceeds %d bytes", maxAnswerBytes)
 		}
 		if err != nil {
+			q.account.Release(allowed - smallAnswerBytes)
 			lease.RecordAnswer(true, time.Now())
-			return nil, errors.Mark(errors.Wrapf(err, "read %d bytes of an answer", body.Len()), send.ErrBroken)
+			return nil, errors.Mark(errors.Wrapf(err, "read %d bytes of an answer", size), send.ErrBroken)
+		}
+	}
+}
+
+// waitForMemory takes memory for more of an answer, for which it waits until other answers have been passed on.
+func (q *request) waitForMemory(ctx context.Context, bytes int) error {
+	waitCtx, cancel := context.WithTimeout(ctx, maxMemoryWait)
+	defer cancel()
+	if !q.account.acquire(waitCtx, int64(bytes)) {
+		return errors.New("other answers take the host's memory for answers")
+	}
+	return nil
+}
+
+// statedLength returns the length of the body that an answer states, or -1.
+func statedLength(header http.Header) int {
+	length, err := strconv.Atoi(header.Get("Content-Length"))
+	if err != nil || length < 0 {
+		return -1
+	}
+	return length
+}
+
+// chunkSize returns the size of the next part of an answer: what is left of its length and a byte to see its end, or as much as has
+// been read.
+func chunkSize(read, length int) int {
+	size := min(max(read, minChunkBytes), maxChunkBytes)
+	if length >= read {
+		size = min(size, length-read+1)
+	}
+	return size
+}
+
+// readChunk fills a chunk; at the end of a body it returns io.EOF with the last bytes.
+func readChunk(body io.Reader, chunk []byte) (int, error) {
+	n := 0
+	for n < len(chunk) {
+		more, err := body.Read(chunk[n:])
+		n += more
+		if err != nil {
+			return n, err
 		}
 	}
+	return n, nil
 }
 
 // exchange sends the request to one backend server and returns its answer with the body unread, after checking that it
@@ -216,8 +279,10 @@
 // deliver passes a complete answer on to the caller.
 func (q *request) deliver(a *fullAnswer) error {
 	q.writeHead(a.status, a.header)
-	if _, err := q.w.Write(a.body); err != nil {
-		return errors.Mark(errors.Wrap(err, "write answer"), errCallerGone)
+	for _, chunk := range a.body {
+		if _, err := q.w.Write(chunk); err != nil {
+			return errors.Mark(errors.Wrap(err, "write answer"), errCallerGone)
+		}
 	}
 	late := ""
 	if q.route.LatencyTarget > 0 && time.Since(q.arrived) > q.route.LatencyTarget {
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -59,6 +59,8 @@
 	keyAgeFraction = 0.88
 	// bodiesFraction is the fraction of the allowed memory for large request bodies.
 	bodiesFraction = 0.25
+	// answersFraction is the fraction of the allowed memory for large answers.
+	answersFraction = 0.15
 	// coldOvercommit is the factor applied to a cold backend server's limit before the hosts divide it.
 	coldOvercommit = 1.1
 )
@@ -195,7 +197,8 @@
 		RoutingState: front.RoutingState{Tables: h, Pool: p},
 		HeaderCodec:  platform.HeaderCodec{}, Copies: platform.Engines{Heard: heardAt(p, n)},
 		Store: storeState{g, syncStatus}, Budget: b, Queue: w, Guard: t, Notices: n, Meter: m, Log: log,
-		MaxBodiesBytes: int64(bodiesFraction * float64(s.Platform.MemoryMB) * megabyte),
+		MaxBodiesBytes:  int64(bodiesFraction * float64(s.Platform.MemoryMB) * megabyte),
+		MaxAnswersBytes: int64(answersFraction * float64(s.Platform.MemoryMB) * megabyte),
 	}
 	f.SetMaxKeyAge(keyAge(s))
 	return f
