fix(gossip): calls to the registry have a time limit

What callers would see: a store that sends a byte of its answer now and then keeps a host from registering, or from finding other hosts, for as long as it does so; the host counts as alone and passes on what the others already use.

Cause: the calls of the other packages to the store have a time limit, these two had none.

Each call now ends after 3 s, and the next one follows as after any other failure.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -55,6 +55,8 @@
 	readerElectionTime = time.Second
 	// listPeriod is how often the registered hosts are listed while none has been seen.
 	listPeriod = 3 * time.Second
+	// registryTimeout bounds one call to the registry, which may answer without end.
+	registryTimeout = 3 * time.Second
 )
 
 // Registry stores the addresses of all hosts.
@@ -188,7 +190,7 @@
 	}
 	for ctx.Err() == nil {
 		if !registered && g.mustRegister() {
-			err := g.Registry.Register(ctx, g.Self, g.Address)
+			err := g.register(ctx)
 			registered = err == nil
 			if err != nil {
 				g.Log.Info("could not register host, retrying", "error", err)
@@ -201,7 +203,15 @@
 	}
 }
 
+func (g *Gossip) register(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	return g.Registry.Register(ctx, g.Self, g.Address)
+}
+
 func (g *Gossip) listRegistered(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
 	all, err := g.Registry.Addresses(ctx)
 	if err != nil {
 		g.Log.Info("could not list hosts", "error", err)
