fix(store): an event of a watch is bounded

What callers would see: an object API in trouble that sends an event without end makes each host that watches it run out of memory; the requests of all callers at these hosts end with it.

Cause: the events of a watch were decoded from the connection without a limit on the bytes of one.

Evidence: TestWatchEventsWithoutEnd failed before in all three rows, with the 64 MiB taken that the test sends at most.

One event now ends after 2 MiB, which is enough for the largest value as it is encoded, and the watch is opened again as after any failure. TestLongWatchesGoOn passes 40 events of the largest size.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -25,9 +25,11 @@
 	keepAliveIdle    = time.Second
 	keepAliveCount   = 3
 	maxResponseBytes = 64 << 20
-	pathObjects      = "/v1/objects"
-	pathWatch        = "/v1/watch"
-	pathHosts        = "/v1/hosts"
+	// maxEventBytes bounds one event of a watch: a value, which is encoded, and its key.
+	maxEventBytes = 2 * object.MaxValueBytes
+	pathObjects   = "/v1/objects"
+	pathWatch     = "/v1/watch"
+	pathHosts     = "/v1/hosts"
 )
 
 // Client is an HTTP client of the object API. Failed calls return the sentinel errors of package object.
@@ -93,9 +95,11 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	dec := json.NewDecoder(resp.Body)
+	limited := &io.LimitedReader{R: resp.Body}
+	dec := json.NewDecoder(limited)
 	for {
 		var e object.Event
+		limited.N = maxEventBytes
 		if err := dec.Decode(&e); err != nil {
 			return errors.Mark(errors.Wrap(err, "read the watch stream"), object.ErrUnavailable)
 		}
