fix(engine): heads of an engine's answers are bounded

What callers would see: a faulty engine that sends header lines without end makes the host run out of memory; the requests of all callers at that host end with it.

Cause: net/http bounds a head by 10 MiB, and each short line takes many times its size; each request has one.

A head is now bounded by 16 KiB.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -26,6 +26,7 @@
 	keepAliveIdle   = time.Second
 	keepAliveCount  = 3
 	maxReportBytes  = 1 << 20
+	maxHeadBytes    = 16 << 10
 	contentTypeJSON = "application/json"
 	pathGenerations = "/v1/generations"
 	pathLoad        = "/v1/load"
@@ -58,10 +59,11 @@
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
 	}}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: maxIdlePerBackend,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    maxIdlePerBackend,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
