fix(mirror): unpacked documents of another host take no more than a message

What callers would see: a host in trouble whose packed reply unpacks to many times its size makes the hosts that read from it run out of memory; the requests of all callers at these hosts end with it. Hosts read several kinds at once.

Cause: a reply was bounded by 16 MiB, but what it unpacks to by 64 MiB, and each of the reads grew a buffer to that.

The documents are now bounded like those of a message that isn't packed, 16 MiB, as lists of the store are.

--- a/internal/mirror/pack.go
+++ b/internal/mirror/pack.go
@@ -19,8 +19,8 @@
 	// maxPackedBatches is the number of packed batches that a cache keeps. Hosts that follow the store closely read from
 	// the same few revisions.
 	maxPackedBatches = 4
-	// maxUnpackedBytes bounds the documents of one batch.
-	maxUnpackedBytes = 64 << 20
+	// maxUnpackedBytes bounds the documents of one batch, which take no more than they do in a message that isn't packed.
+	maxUnpackedBytes = maxMessageBytes
 )
 
 // isWorthPacking reports whether a batch is large.
@@ -82,10 +82,13 @@
 }
 
 func unpackDocuments(packed []byte) (*mirpb.Documents, error) {
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes))
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress documents")
 	}
+	if len(plain) > maxUnpackedBytes {
+		return nil, errors.Newf("documents exceed %d bytes", maxUnpackedBytes)
+	}
 	documents := &mirpb.Documents{}
 	return documents, errors.Wrap(proto.Unmarshal(plain, documents), "decode documents")
 }
