fix(call): heads of backend servers' answers are bounded

What callers would see: a faulty backend server that sends header lines without end makes the host run out of memory; the requests of all callers at that host end with it.

Cause: net/http bounds a head by 10 MiB, and each short line takes many times its size; each request has one.

--- a/internal/call/send.go
+++ b/internal/call/send.go
@@ -31,6 +31,7 @@
 	keepAliveCount = 3
 	// DefaultAnswerBytes is the default limit of an answer's body.
 	DefaultAnswerBytes = 16 << 20
+	maxHeadBytes       = 64 << 10
 )
 
 // HTTPSender sends calls over HTTP.
@@ -57,11 +58,12 @@
 	}}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			DisableCompression:  true,
-			DisableKeepAlives:   disableKeepAlives,
-			IdleConnTimeout:     idleTimeout,
-			MaxIdleConnsPerHost: maxIdlePerBackend,
+			DialContext:            dialer.DialContext,
+			DisableCompression:     true,
+			DisableKeepAlives:      disableKeepAlives,
+			IdleConnTimeout:        idleTimeout,
+			MaxIdleConnsPerHost:    maxIdlePerBackend,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
