fix(store): heads of the object API's responses are bounded

What callers would see: an object API in trouble that sends header lines without end makes the hosts that call it run out of memory; the requests of all callers at these hosts end with it.

Cause: net/http bounds a head by 10 MiB, and each short line takes many times its size.

Evidence: TestHeadsWithoutEndTakeLittleMemory failed before: one call allocated 205 MiB.

A head is now bounded by 16 KiB.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -27,6 +27,7 @@
 	maxResponseBytes = 64 << 20
 	// maxEventBytes bounds one event of a watch: a value, which is encoded, and its key.
 	maxEventBytes = 2 * object.MaxValueBytes
+	maxHeadBytes  = 16 << 10
 	pathObjects   = "/v1/objects"
 	pathWatch     = "/v1/watch"
 	pathHosts     = "/v1/hosts"
@@ -44,7 +45,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
 	}}
-	return &Client{Address: addr, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}}
+	return &Client{Address: addr, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeadBytes}}}
 }
 
 // Close closes the idle connections.
--- a/internal/store/endless_test.go
+++ b/internal/store/endless_test.go
@@ -1,10 +1,13 @@
 package store_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -64,3 +67,36 @@
 	assert.Assert(t, errors.Is(err, object.ErrUnavailable), "%v", err)
 	assert.Equal(t, seen, events)
 }
+
+// TestHeadsWithoutEndTakeLittleMemory guards against heads that are bounded, and whose short lines take many times their size.
+func TestHeadsWithoutEndTakeLittleMemory(t *testing.T) {
+	const maxAllocated = 4 << 20
+	var text strings.Builder
+	text.WriteString("HTTP/1.1 200 OK\r\n")
+	for n := range 1 << 20 {
+		fmt.Fprintf(&text, "%x:\r\n", n)
+	}
+	head := []byte(text.String())
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = conn.Write(head)
+		}
+	}()
+	c := store.NewClient(netip.MustParseAddrPort(l.Addr().String()))
+	defer c.Close()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err = c.List(t.Context(), "")
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, errors.Is(err, object.ErrUnavailable), "%v", err)
+	allocated := after.TotalAlloc - before.TotalAlloc
+	assert.Assert(t, allocated < maxAllocated, "%d MiB allocated", allocated>>20)
+}
