--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -25,9 +25,12 @@
 	keepAliveIdle    = time.Second
 	keepAliveCount   = 3
 	maxResponseBytes = 64 << 20
-	pathObjects      = "/v1/objects"
-	pathWatch        = "/v1/watch"
-	pathHosts        = "/v1/hosts"
+	// maxEventBytes bounds one event of a watch: a value, which is encoded, and its key.
+	maxEventBytes = 2 * object.MaxValueBytes
+	maxHeadBytes  = 16 << 10
+	pathObjects   = "/v1/objects"
+	pathWatch     = "/v1/watch"
+	pathHosts     = "/v1/hosts"
 )
 
 // Client is an HTTP client of the object API. Failed calls return the sentinel errors of package object.
@@ -42,7 +45,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
 	}}
-	return &Client{Address: addr, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}}
+	return &Client{Address: addr, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeadBytes}}}
 }
 
 // Close closes the idle connections.
@@ -93,9 +96,11 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	dec := json.NewDecoder(resp.Body)
+	limited := &io.LimitedReader{R: resp.Body}
+	dec := json.NewDecoder(limited)
 	for {
 		var e object.Event
+		limited.N = maxEventBytes
 		if err := dec.Decode(&e); err != nil {
 			return errors.Mark(errors.Wrap(err, "read the watch stream"), object.ErrUnavailable)
 		}
