fix(model): a start that arrives after its cancel is not run

What callers would see: nothing; two engines work on one request. A start that was delayed on the way (its path came back a second later) reached the stand-in after the cancel of the same attempt, which had been answered with 204, and ran to its end. An answered cancel was no proof that the attempt has ended.

Cause: a cancel ended what the engine had and left nothing for what was still on its way.

Change: the engine remembers the IDs of cancelled requests until it restarts, and answers 410 to their starts. A connection does not outlast the process, so that a restart needs no memory of them. Client.Cancel says what its success means.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -111,7 +111,8 @@
 	return open(ctx, c.unpooled, http.MethodGet, requestURL(addr, pathGenerations+"/"+url.PathEscape(id)+"/stream", query), nil)
 }
 
-// Cancel ends the request's generation; it is idempotent.
+// Cancel ends the request's generation; it is idempotent. Once it has returned nil or ErrGone, the engine does not run the
+// request, nor a start of it that arrives later.
 func (c *Client) Cancel(ctx context.Context, addr netip.AddrPort, id string) error {
 	return call(ctx, c.unpooled, http.MethodDelete, requestURL(addr, pathGenerations+"/"+url.PathEscape(id), nil), nil, nil)
 }
--- a/internal/fakes/model/server.go
+++ b/internal/fakes/model/server.go
@@ -45,8 +45,10 @@
 	// crashCount counts crashes; streams opened at a lower count are aborted.
 	crashCount int
 	// stallCount counts how often StallStreams was set; streams opened at a lower count send nothing more.
-	stallCount  int
-	records     map[string]*record
+	stallCount int
+	records    map[string]*record
+	// cancelled holds the IDs of cancelled requests, which are not run if they arrive later.
+	cancelled   map[string]bool
 	loadReports []engine.Load
 	orders      []engine.Order
 	// fence is the fencing token of the last accepted order.
@@ -66,7 +68,7 @@
 
 // NewServer returns an engine that has just started; it decodes while Run runs.
 func NewServer(p Params) *Server {
-	return &Server{Params: p, core: NewCore(p), records: make(map[string]*record)}
+	return &Server{Params: p, core: NewCore(p), records: make(map[string]*record), cancelled: make(map[string]bool)}
 }
 
 // Handler returns the engine's interface and, under /control, the one for faults and counters.
@@ -135,6 +137,7 @@
 		r.changed = make(chan struct{})
 	}
 	s.records = make(map[string]*record)
+	s.cancelled = make(map[string]bool)
 }
 
 func (s *Server) step() time.Duration {
@@ -200,6 +203,11 @@
 		return
 	}
 	s.mu.Lock()
+	if s.cancelled[req.ID] {
+		s.mu.Unlock()
+		http.Error(w, "cancelled", http.StatusGone)
+		return
+	}
 	if s.faults.Refuse {
 		s.mu.Unlock()
 		http.Error(w, "refused", http.StatusServiceUnavailable)
@@ -303,6 +311,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := chi.URLParam(r, "id")
+	s.cancelled[id] = true
 	s.core.Cancel(id)
 	if rec := s.records[id]; rec != nil && rec.finish == "" {
 		rec.cancelled = true
