feat(engine): a refused connection is told from one that was not made

ErrUnreachable says only that no connection was made: a path that is silent and an engine whose process has ended look the same. ErrNotListening marks the second one, so that a refused connection can be taken as proof that nothing runs at the address any more, and a timeout can't.

TestEnginesThatDoNotAnswer checks both; it does not compile without the new error.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -189,10 +190,14 @@
 	return nil, statusError(resp.StatusCode)
 }
 
-// classify marks an error as ErrUnreachable if no connection was made, else as ErrBroken.
+// classify marks an error as ErrUnreachable if no connection was made, also as ErrNotListening if it was refused, and else
+// as ErrBroken.
 func classify(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			err = errors.Mark(err, ErrNotListening)
+		}
 		return errors.Mark(err, ErrUnreachable)
 	}
 	return errors.Mark(err, ErrBroken)
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonspur/tarragonspur/internal/engine"
@@ -50,6 +51,33 @@
 	}
 }
 
+// TestEnginesThatDoNotAnswer checks that only a refused connection shows that nothing runs at an address.
+func TestEnginesThatDoNotAnswer(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed := netip.MustParseAddrPort(l.Addr().String())
+	assert.NilError(t, l.Close())
+	closing := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer closing.Close()
+	tests := []struct {
+		name         string
+		addr         netip.AddrPort
+		notListening bool
+	}{
+		{"the connection is refused", closed, true},
+		{"the connection is closed without an answer", netip.MustParseAddrPort(closing.Listener.Addr().String()), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := engine.NewClient()
+			defer c.Close()
+			err := c.Cancel(t.Context(), tt.addr, "req")
+			assert.Assert(t, err != nil)
+			assert.Equal(t, errors.Is(err, engine.ErrNotListening), tt.notListening, "%v", err)
+		})
+	}
+}
+
 func TestFinishedStreamReusesConnection(t *testing.T) {
 	var opened atomic.Int32
 	closing := make(chan struct{}, 1)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,6 +13,8 @@
 	ErrRefused = errors.New("engine refused the request")
 	// ErrUnreachable says that no connection to the engine could be made; no part of the request ran.
 	ErrUnreachable = errors.New("engine unreachable")
+	// ErrNotListening says that nothing accepts connections at the engine's address, so that nothing runs there.
+	ErrNotListening = errors.New("nothing listens at the engine's address")
 	// ErrBroken says that a stream ended before the generation was complete, or that another call got no valid answer.
 	ErrBroken = errors.New("engine connection broke")
 	// ErrGone says that the engine does not have the generation.
