test(faults): count the starts that reach an engine while another one works

measure faults shows them as at_work_twice; zero is required of the product's policy. The scenario's engines answer a cancel within a millisecond, so that it can't show the case of a silent path; the tests of the relay do.

--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -59,6 +59,7 @@
 		"killer_starts":     float64(c.LateStarts),
 		"barred_innocents":  float64(c.FalselyBarred),
 		"left_runs":         float64(c.OrphanedRuns),
+		"at_work_twice":     float64(c.Overlaps),
 		"longest_gap_s":     c.LongestGap.Seconds(),
 		"bookings":          float64(*b.Requests),
 		"wrong_answers":     b.Extra["wrong_answers"],
--- a/internal/bench/faults/engine.go
+++ b/internal/bench/faults/engine.go
@@ -74,6 +74,9 @@
 	if at, twice := world.secondDeath[r]; twice && e.loop.Now().Sub(at) > lateStartAfter {
 		world.counts.LateStarts++
 	}
+	if world.isAtWork(id, e) {
+		world.counts.Overlaps++
+	}
 	world.runs[r]++
 	e.runCount++
 	run := &run{request: r, id: id, generation: e.generation(), conn: c, applied: make(map[kind]bool)}
--- a/internal/bench/faults/faults_test.go
+++ b/internal/bench/faults/faults_test.go
@@ -11,14 +11,14 @@
 
 // violations are the counts that must be zero under the product's policy.
 type violations struct {
-	Cut, Duplicate, Missing, Mixed, FalseNotRun, Foreign, WrongDelivered, AfterEnd, KillerStarts, LeftRuns int
+	Cut, Duplicate, Missing, Mixed, FalseNotRun, Foreign, WrongDelivered, AfterEnd, KillerStarts, LeftRuns, Overlaps int
 }
 
 func violationsOf(c faults.Counts) violations {
 	return violations{
 		Cut: c.Cut, Duplicate: c.DuplicateTokens, Missing: c.MissingTokens, Mixed: c.MixedGenerations,
 		FalseNotRun: c.FalseNotRun, Foreign: c.ForeignAnswers, WrongDelivered: c.WrongTokenCounts,
-		AfterEnd: c.TokensAfterEnd, KillerStarts: c.LateStarts, LeftRuns: c.OrphanedRuns,
+		AfterEnd: c.TokensAfterEnd, KillerStarts: c.LateStarts, LeftRuns: c.OrphanedRuns, Overlaps: c.Overlaps,
 	}
 }
 
--- a/internal/bench/faults/world.go
+++ b/internal/bench/faults/world.go
@@ -51,6 +51,8 @@
 	FalselyBarred int
 	// OrphanedRuns counts runs that an engine still worked on a second after the host had ended the attempt.
 	OrphanedRuns int
+	// Overlaps counts the starts of an answer that an engine received while another one worked on it.
+	Overlaps int
 	// LongestGap is the longest time between two tokens at a caller.
 	LongestGap time.Duration
 }
@@ -274,6 +276,22 @@
 	w.loop.After(hostDowntime, h.start)
 }
 
+// isAtWork reports whether another engine works on an attempt of the answer that an attempt belongs to.
+func (w *world) isAtWork(id string, receiver *fakeEngine) bool {
+	answer, _, _ := strings.Cut(id, "-")
+	for _, e := range w.engines {
+		if e == receiver {
+			continue
+		}
+		for other, run := range e.runs {
+			if prefix, _, _ := strings.Cut(other, "-"); prefix == answer && run.tokens <= run.request.tokens {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // checkOrphaned counts a run that its engine still works on.
 func (w *world) checkOrphaned(e *fakeEngine, run *run) {
 	if w.policy == PolicyOwn && !e.down && e.runs[run.id] == run && run.tokens <= run.request.tokens {
