fix(relay): the next attempt waits until the one before is known to have ended

What callers would see: none of it in their answer. An engine whose connection broke, or that did not answer, may go on with a generation while another engine runs the request for the same caller. The abandoned attempt was cancelled in the background for up to 1 s while the next one started, and after that second nothing ended it: an engine behind a silent path worked to its end.

The next attempt followed a timer or a lost connection, neither of which says anything of the attempt before.

Change: an attempt that may have run is stopped before the next one is placed. Machine has a phase (stopping), an action (ActionStop) and an event (EventEnded) for it, and reads no clock as before. The session reports EventEnded when the engine has answered the cancel (proof=cancelled), has answered that it does not have the attempt (gone), or refuses connections (not_listening). A timeout, a reset or a 503 is no proof; the cancel is repeated. Without a proof within 5 s (Rules.StopTimeout, the time for which a stream is resumed) the answer ends as interrupted, may_have_run or partial. So far such a request went on to another engine after 1 s or 2 s without an answer; it now does so only with a proof.

Attempts that are refused or can't connect have not run and are replaced as before. The order holds if the host stalls or ends: there is no next attempt before the proof. A start that arrives later than its cancel is not run.

Logs: "attempt abandoned" tells cause, proof and took for each attempt.

Evidence, on the code before: - TestEngineReceivesARequestThatAnotherOneWorksOn: seven of the ten rows of its first version failed, "two engines worked on the request"; the others (the cancel is answered at once) held. A row for proof=gone and the check of the log came with the fix. - TestStandInsWorkOnOneRequestAtATime (HTTP, two stand-ins): both rows failed, the second engine received the request while IsAtWork was true of the first.

TestMachineUnderRandomEvents now requires that no start follows an attempt that may be at work. It required a cause of each ActionPlace; a place after a stop has none, so that the check is now: a place after a stop follows EventEnded, any other one has the cause refused or unreachable. TestMachineWithoutEventsEnds has a row for attempts that end beside the one for those that do not. Three recorded traces (dies_before, kills, moved_on) have one line more for each stop; their outcomes are the same.

BenchmarkToken, three runs each on a busy machine: machine 32.7 to 38.0 ns and 31.5 to 32.4 ns, with the checker 35.9 to 38.4 ns and 34.9 to 35.7 ns, no allocation.

--- a/internal/bench/faults/own.go
+++ b/internal/bench/faults/own.go
@@ -31,7 +31,9 @@
 	excluded    map[string]bool
 	conn        *conn
 	verdictWait time.Duration
-	dead        bool
+	// ended is called when the attempt that is being abandoned has ended; nil if nothing waits for that.
+	ended func()
+	dead  bool
 	// record receives the events of this answer; nil disables recording.
 	record *Record
 }
@@ -81,6 +83,10 @@
 	case relay.ActionPlace:
 		s.endAttempt(action.Abandon)
 		s.place()
+	case relay.ActionStop:
+		s.ended = func() { s.step(relay.Event{Kind: relay.EventEnded, Conn: action.Conn}) }
+		s.endAttempt(action.Abandon)
+		s.ended = nil
 	case relay.ActionStart:
 		s.id = relay.AttemptID(s.answer.id(), action.Attempt)
 		s.poisonRun = s.host.poisonTable.Started(s.print, s.engine.name)
@@ -182,12 +188,12 @@
 		return
 	case relay.CauseCallerLeft:
 		s.poisonRun.Ended(false)
-		s.cancel(e, s.id, 0)
+		s.cancel(e, s.id, 0, s.ended)
 	case relay.CauseRefused, relay.CauseUnreachable:
 		s.poisonRun.Ended(false)
 	case relay.CauseUnresponsive:
 		s.poisonRun.Ended(false)
-		s.cancel(e, s.id, 0)
+		s.cancel(e, s.id, 0, s.ended)
 	case relay.CauseLost:
 		s.poisonRun.Interrupted()
 		s.resolveLostRun(e, s.id, s.poisonRun)
@@ -205,7 +211,7 @@
 
 // resolveLostRun probes whether the engine died, notes the result and cancels the run.
 func (s *ownStream) resolveLostRun(e *fakeEngine, id string, poisonRun *poison.Run) {
-	w := s.host.world
+	w, ended := s.host.world, s.ended
 	w.loop.After(oneWayDelay, func() {
 		answer, ok := e.progress(id)
 		pause := oneWayDelay
@@ -219,17 +225,22 @@
 			} else {
 				poisonRun.Survived()
 			}
-			s.cancel(e, id, 0)
+			s.cancel(e, id, 0, ended)
 		})
 	})
 }
 
-// cancel ends a run; while the engine is down it is sent again, for at most cancelRetryLimit.
-func (s *ownStream) cancel(e *fakeEngine, id string, waited time.Duration) {
-	s.host.world.loop.After(oneWayDelay, func() {
+// cancel ends a run; while the engine is down it is sent again, for at most cancelRetryLimit. The first answer, or the
+// refused connection to an engine that is down, shows that the run has ended.
+func (s *ownStream) cancel(e *fakeEngine, id string, waited time.Duration, ended func()) {
+	w := s.host.world
+	w.loop.After(oneWayDelay, func() {
 		e.cancel(id)
+		if ended != nil {
+			w.loop.After(oneWayDelay, ended)
+		}
 		if e.down && waited < cancelRetryLimit {
-			s.host.world.loop.After(cancelRetryPause, func() { s.cancel(e, id, waited+cancelRetryPause) })
+			w.loop.After(cancelRetryPause, func() { s.cancel(e, id, waited+cancelRetryPause, nil) })
 		}
 	})
 }
--- a/internal/fakes/model/server.go
+++ b/internal/fakes/model/server.go
@@ -140,6 +140,18 @@
 	s.cancelled = make(map[string]bool)
 }
 
+// IsAtWork reports whether the engine works on an attempt of the request.
+func (s *Server) IsAtWork(request string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, r := range s.records {
+		if r.finish == "" && (id == request || strings.HasPrefix(id, request+"-")) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Server) step() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -12,6 +12,9 @@
 
 // connect starts, resumes or probes a generation as the action says. It does not wait for the engine.
 func (s *session) connect(ctx context.Context, act Action) {
+	if s.ticket == nil {
+		return
+	}
 	request := s.request
 	request.ID = AttemptID(s.request.ID, act.Attempt)
 	addr := s.ticket.Backend().Address
--- a/internal/relay/event.go
+++ b/internal/relay/event.go
@@ -34,6 +34,8 @@
 	EventBusy EventKind = "busy"
 	// EventProbeFailed says that the engine did not answer a progress probe.
 	EventProbeFailed EventKind = "mute"
+	// EventEnded says that the attempt that ActionStop abandoned has ended, or never ran and never will.
+	EventEnded EventKind = "ended"
 	// EventTick says that time has passed.
 	EventTick EventKind = "tick"
 	// EventCallerLeft says that the caller has left: its context has ended.
@@ -67,6 +69,8 @@
 	ActionPlace ActionKind = "place"
 	// ActionStart opens a connection that starts a generation on the assigned backend server.
 	ActionStart ActionKind = "start"
+	// ActionStop ends the abandoned attempt on its engine; EventEnded reports that this is done.
+	ActionStop ActionKind = "stop"
 	// ActionResume replaces the connection by one that resumes the generation on the same engine.
 	ActionResume ActionKind = "resume"
 	// ActionProbe reads the engine's progress over another connection.
@@ -108,7 +112,7 @@
 	// Abandon says why the current attempt is abandoned. The session cancels its generation on the engine if it may have
 	// been started.
 	Abandon Cause
-	// Conn is the number of the connection to open, or of the one that is probed.
+	// Conn is the number of the connection to open, of the one that is probed, or of the abandoned attempt's last one.
 	Conn int
 	// Attempt is the number of the attempt, from 1; each ActionStart begins a new one.
 	Attempt int
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -7,7 +7,7 @@
 )
 
 // failOrContinue ends a stream whose generation is lost, or continues it with another generation if Continue is set.
-func (m *Machine) failOrContinue(message string) Action {
+func (m *Machine) failOrContinue(message string, now time.Time) Action {
 	if !m.Continue {
 		return m.fail(m.abandonOpen(CauseLost), message)
 	}
@@ -16,23 +16,43 @@
 		return Action{Kind: ActionFinish, Abandon: CauseLost, Finish: finishLength}
 	}
 	m.base = m.delivered
-	return m.restart(CauseLost)
+	return m.restart(CauseLost, now)
 }
 
-// restart abandons the attempt and asks for another backend server while the rules and the budget allow it.
-func (m *Machine) restart(cause Cause) Action {
-	if cause == CauseLost || cause == CauseUnresponsive {
+// restart abandons the attempt and asks for another backend server while the rules and the budget allow it. An attempt
+// that may have run is stopped first.
+func (m *Machine) restart(cause Cause, now time.Time) Action {
+	ran := cause != CauseRefused && cause != CauseUnreachable
+	if ran {
 		m.mayHaveRun = true
 	}
 	if !m.retryAllowed(cause) {
 		return m.exhausted(cause)
 	}
+	m.lostAt = time.Time{}
+	if !ran {
+		m.phase = phasePlacing
+		m.wake = time.Time{}
+		return Action{Kind: ActionPlace, Abandon: cause}
+	}
+	m.phase = phaseStopping
+	m.wake = now.Add(m.Rules.StopTimeout)
+	return Action{Kind: ActionStop, Abandon: cause, Conn: m.conn, Attempt: m.attempt}
+}
+
+// stopping handles an event while an abandoned attempt is stopped.
+func (m *Machine) stopping(e *Event) Action {
+	if e.Kind != EventEnded {
+		return Action{Kind: ActionNone}
+	}
 	m.phase = phasePlacing
 	m.wake = time.Time{}
-	m.lostAt = time.Time{}
-	return Action{Kind: ActionPlace, Abandon: cause}
+	return Action{Kind: ActionPlace}
 }
 
+// isOpen reports whether an attempt is open.
+func (m *Machine) isOpen() bool { return m.phase != phasePlacing && m.phase != phaseStopping }
+
 // retryAllowed reports whether the rules and the budget allow a retry, and takes it from the budget. A failure to
 // connect counts only against maxUnreachable, because nothing was sent.
 func (m *Machine) retryAllowed(cause Cause) bool {
@@ -45,7 +65,7 @@
 
 // abandonOpen returns cause and marks the request as possibly run if an attempt is open, else CauseNone.
 func (m *Machine) abandonOpen(cause Cause) Cause {
-	if m.phase == phasePlacing {
+	if !m.isOpen() {
 		return CauseNone
 	}
 	m.mayHaveRun = true
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -4,10 +4,14 @@
 	"context"
 	"io"
 	"net/netip"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/tarragonspur/tarragonspur/internal/engine"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
 	"github.com/tarragonspur/tarragonspur/internal/sched"
@@ -29,10 +33,19 @@
 	crashesAt, hangsAt, foreignFrameAt, newGenerationAt int
 	// noProgress makes the engine leave progress probes unanswered.
 	noProgress bool
+	// breaksAt is the offset at which the connection breaks while the run goes on; from then on the path to the engine is
+	// silent for silence. With lateStart, each start arrives that long after its sending.
+	breaksAt  int
+	silence   time.Duration
+	lateStart time.Duration
+	// stopsListening ends the engine's process when the connection breaks.
+	stopsListening bool
+	// forgets makes the engine answer a cancel as if it did not have the request.
+	forgets bool
 }
 
 func healthy() faults {
-	return faults{gap: 20 * time.Millisecond, crashesAt: -1, hangsAt: -1, foreignFrameAt: -1, newGenerationAt: -1}
+	return faults{gap: 20 * time.Millisecond, crashesAt: -1, breaksAt: -1, hangsAt: -1, foreignFrameAt: -1, newGenerationAt: -1}
 }
 
 // fakeEngine generates a fixed number of tokens for each request at a fixed pace.
@@ -48,6 +61,10 @@
 	starts      int
 	resumes     int
 	cancels     map[string]time.Time
+	silentUntil time.Time
+	down        bool
+	// overlaps counts the starts received while another engine worked on the same request.
+	overlaps int
 }
 
 type fakeRun struct {
@@ -77,6 +94,34 @@
 	e.faults.crashesAt = -1
 }
 
+// reach waits while the path to the engine is silent, and returns an error if nothing listens there.
+func (e *fakeEngine) reach(ctx context.Context) error {
+	e.mu.Lock()
+	until, down := e.silentUntil, e.down
+	e.mu.Unlock()
+	select {
+	case <-time.After(time.Until(until)):
+	case <-ctx.Done():
+		return engine.ErrBroken
+	}
+	if down {
+		return errors.Mark(engine.ErrUnreachable, engine.ErrNotListening)
+	}
+	return nil
+}
+
+// isAtWork reports whether the engine generates tokens for an attempt of the request.
+func (e *fakeEngine) isAtWork(request string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, r := range e.runs {
+		if (id == request || strings.HasPrefix(id, request+"-")) && e.generated(r) < e.tokens {
+			return true
+		}
+	}
+	return false
+}
+
 type fakeStream struct {
 	ctx    context.Context
 	engine *fakeEngine
@@ -118,6 +163,14 @@
 	case e.faults.crashesAt:
 		e.crash()
 		return engine.Frame{}, 0, engine.ErrBroken
+	case e.faults.breaksAt:
+		e.faults.breaksAt = -1
+		e.silentUntil = time.Now().Add(e.faults.silence)
+		if e.faults.stopsListening {
+			e.crash()
+			e.down = true
+		}
+		return engine.Frame{}, 0, engine.ErrBroken
 	case e.faults.hangsAt:
 		e.faults.hangsAt = -1
 		return engine.Frame{}, time.Hour, nil
@@ -163,8 +216,29 @@
 
 func (f *fakeFleet) Start(ctx context.Context, addr netip.AddrPort, r engine.Request) (engine.Stream, error) {
 	e := f.at(addr)
+	if err := e.reach(ctx); err != nil {
+		return nil, err
+	}
+	if e.faults.lateStart > 0 {
+		e.mu.Lock()
+		e.silentUntil = time.Now().Add(e.faults.silence)
+		e.mu.Unlock()
+		time.AfterFunc(e.faults.lateStart, func() { _, _ = f.receive(context.Background(), e, r) })
+		<-ctx.Done()
+		return nil, engine.ErrBroken
+	}
+	return f.receive(ctx, e, r)
+}
+
+// receive handles a start that has arrived at the engine.
+func (f *fakeFleet) receive(ctx context.Context, e *fakeEngine, r engine.Request) (engine.Stream, error) {
+	request, _, _ := strings.Cut(r.ID, "-")
+	overlap := slices.ContainsFunc(f.engines, func(o *fakeEngine) bool { return o != e && o.isAtWork(request) })
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if _, cancelled := e.cancels[r.ID]; cancelled {
+		return nil, engine.ErrGone
+	}
 	switch {
 	case e.faults.refuse:
 		return nil, engine.ErrRefused
@@ -176,9 +250,13 @@
 		e.mu.Lock()
 		return nil, engine.ErrBroken
 	}
+	if overlap {
+		e.overlaps++
+	}
 	e.lastRequest = r
 	run := e.start(r.ID)
 	if e.faults.noFrames {
+		e.silentUntil = time.Now().Add(e.faults.silence)
 		e.mu.Unlock()
 		<-ctx.Done()
 		e.mu.Lock()
@@ -189,6 +267,9 @@
 
 func (f *fakeFleet) Resume(ctx context.Context, addr netip.AddrPort, id, generation string, offset int) (engine.Stream, error) {
 	e := f.at(addr)
+	if err := e.reach(ctx); err != nil {
+		return nil, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.resumes++
@@ -202,17 +283,26 @@
 	return &fakeStream{ctx: ctx, engine: e, id: id, run: run, offset: offset}, nil
 }
 
-func (f *fakeFleet) Cancel(_ context.Context, addr netip.AddrPort, id string) error {
+func (f *fakeFleet) Cancel(ctx context.Context, addr netip.AddrPort, id string) error {
 	e := f.at(addr)
+	if err := e.reach(ctx); err != nil {
+		return err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.runs, id)
 	e.cancels[id] = time.Now()
+	if e.faults.forgets {
+		return engine.ErrGone
+	}
 	return nil
 }
 
 func (f *fakeFleet) Progress(ctx context.Context, addr netip.AddrPort, id string) (engine.Progress, error) {
 	e := f.at(addr)
+	if err := e.reach(ctx); err != nil {
+		return engine.Progress{}, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.noProgress {
--- a/internal/relay/machine.go
+++ b/internal/relay/machine.go
@@ -28,13 +28,16 @@
 	phaseResuming
 	// phaseBackoff waits before the next resume.
 	phaseBackoff
+	// phaseStopping waits until an abandoned attempt is known to have ended.
+	phaseStopping
 	phaseEnded
 )
 
 // Machine is the state machine of one request's stream: it decides which frame is the caller's next token, when an
 // attempt is abandoned, and how the answer ends. It does no I/O and reads no clock.
 //
-// Until the first token is delivered, a failed attempt is replaced by another generation on another engine.
+// Until the first token is delivered, a failed attempt is replaced by another generation on another engine. The next
+// attempt is placed only after the one before is known to have ended; if that can't be found out, the answer fails.
 // From then on only that generation is resumed, on its engine and from the caller's offset. If that fails and
 // Continue is set, another generation may continue after the delivered tokens.
 // A refusal says that the request did not run only if each engine refused it or could not be reached.
@@ -120,13 +123,16 @@
 	if e.Conn != m.conn || m.phase == phasePlacing {
 		return Action{Kind: ActionNone}
 	}
+	if m.phase == phaseStopping {
+		return m.stopping(e)
+	}
 	switch e.Kind {
 	case EventOpened:
 		return m.streamOpened(e.At)
 	case EventRefused, EventUnreachable:
 		return m.startRefused(e)
 	case EventGone:
-		return m.generationGone()
+		return m.generationGone(e.At)
 	case EventBroken:
 		return m.connLost(e.At)
 	case EventProgress:
@@ -183,7 +189,7 @@
 // and resumes the stream if a token is missing.
 func (m *Machine) frame(e *Event) Action {
 	f := &e.Frame
-	if e.Conn != m.conn || m.phase == phasePlacing || f.Request != AttemptID(m.ID, m.attempt) {
+	if e.Conn != m.conn || !m.isOpen() || f.Request != AttemptID(m.ID, m.attempt) {
 		return Action{Kind: ActionDrop}
 	}
 	if m.generation == "" {
@@ -239,6 +245,8 @@
 		return m.resume(now)
 	case phaseResuming:
 		return m.connLost(now)
+	case phaseStopping:
+		return m.fail(CauseNone, "the earlier attempt is not known to have ended")
 	}
 	return Action{Kind: ActionNone}
 }
@@ -251,7 +259,7 @@
 	}
 	p := e.Progress
 	if m.generation != "" && p.Generation != m.generation {
-		return m.generationGone()
+		return m.generationGone(e.At)
 	}
 	if p.Tokens <= m.generationTokens() && !p.Finished {
 		return m.keepWaiting(e.At)
@@ -279,7 +287,7 @@
 		return Action{Kind: ActionNone}
 	}
 	if !m.accepted {
-		return m.restart(CauseUnresponsive)
+		return m.restart(CauseUnresponsive, now)
 	}
 	return m.connLost(now)
 }
@@ -290,27 +298,27 @@
 		return m.connLost(e.At)
 	}
 	if e.Kind == EventUnreachable {
-		return m.restart(CauseUnreachable)
+		return m.restart(CauseUnreachable, e.At)
 	}
-	return m.restart(CauseRefused)
+	return m.restart(CauseRefused, e.At)
 }
 
 // generationGone abandons an attempt whose generation the engine does not have any more.
-func (m *Machine) generationGone() Action {
+func (m *Machine) generationGone(now time.Time) Action {
 	if m.generationTokens() > 0 {
-		return m.failOrContinue("the engine lost the generation")
+		return m.failOrContinue("the engine lost the generation", now)
 	}
 	if m.phase == phaseProbing && !m.accepted {
-		return m.restart(CauseUnresponsive)
+		return m.restart(CauseUnresponsive, now)
 	}
-	return m.restart(CauseLost)
+	return m.restart(CauseLost, now)
 }
 
 // connLost resumes the stream after its connection failed or timed out, with exponential backoff, until the resume
 // timeout or maxResumes is reached. Without a token of the current generation it restarts the request instead.
 func (m *Machine) connLost(now time.Time) Action {
 	if m.generationTokens() == 0 {
-		return m.restart(CauseLost)
+		return m.restart(CauseLost, now)
 	}
 	if m.lostAt.IsZero() {
 		m.lostAt = now
@@ -321,7 +329,7 @@
 	}
 	pause := firstResumePause << (m.resumes - 1)
 	if m.resumes == maxResumes || now.Add(pause).Sub(m.lostAt) > m.Rules.ResumeTimeout {
-		return m.failOrContinue("the generation broke off")
+		return m.failOrContinue("the generation broke off", now)
 	}
 	m.phase = phaseBackoff
 	m.wake = now.Add(pause)
--- a/internal/relay/machine_test.go
+++ b/internal/relay/machine_test.go
@@ -37,8 +37,10 @@
 	// unreachable counts the attempts that could not connect, so that nothing was sent.
 	unreachable int
 	attempts    int
-	// placing says that the Machine waits for a backend server.
-	placing bool
+	// placing says that the Machine waits for a backend server, stopping that it waits for the end of an attempt.
+	placing, stopping bool
+	// working says that an engine may work on an attempt.
+	working bool
 	// mayHaveRun says that an engine may have run part of the request; open says that an attempt is open.
 	mayHaveRun, open bool
 	ended            bool
@@ -78,6 +80,8 @@
 	case relay.ActionStart:
 		assert.Equal(t, a.Offset, m.base)
 		assert.Equal(t, len(m.delivered), m.base, "a second generation after the first token")
+		assert.Assert(t, !m.working, "a start while an engine may work on the attempt before")
+		m.working = true
 		m.attempts++
 		m.conns = a.Conn
 		m.placing = false
@@ -89,8 +93,18 @@
 		if m.machine.Continue {
 			m.base = len(m.delivered)
 		}
-		assert.Assert(t, a.Abandon != relay.CauseNone)
-		m.placing, m.open = true, false
+		if m.stopping {
+			assert.Equal(t, a.Abandon, relay.CauseNone)
+			assert.Equal(t, e.Kind, relay.EventEnded)
+		} else {
+			assert.Assert(t, a.Abandon == relay.CauseRefused || a.Abandon == relay.CauseUnreachable, "an attempt that may have run is not stopped")
+		}
+		m.placing, m.stopping, m.open, m.working = true, false, false, false
+	case relay.ActionStop:
+		assert.Assert(t, a.Abandon == relay.CauseLost || a.Abandon == relay.CauseUnresponsive)
+		assert.Equal(t, a.Attempt, m.attempts)
+		m.conns = a.Conn
+		m.stopping, m.open = true, false
 	case relay.ActionFinish:
 		m.ended = true
 		assert.Equal(t, len(m.delivered)-m.base, modelTokens, "an incomplete answer ends as complete")
@@ -168,7 +182,7 @@
 func (m *streamModel) connEvent(t *rapid.T) {
 	kind := rapid.SampledFrom([]relay.EventKind{
 		relay.EventOpened, relay.EventRefused, relay.EventUnreachable, relay.EventGone,
-		relay.EventBroken, relay.EventBusy, relay.EventProbeFailed,
+		relay.EventBroken, relay.EventBusy, relay.EventProbeFailed, relay.EventEnded,
 	}).Draw(t, "kind")
 	m.step(t, relay.Event{Kind: kind, Conn: m.drawConn(t)})
 }
@@ -214,10 +228,20 @@
 }
 
 func TestMachineWithoutEventsEnds(t *testing.T) {
-	for _, delivered := range []int{0, 3} {
+	tests := []struct {
+		name      string
+		delivered int
+		// ends says that each abandoned attempt is known to have ended at once.
+		ends bool
+	}{
+		{"before the first token", 0, false},
+		{"before the first token, attempts end", 0, true},
+		{"mid-stream", 3, false},
+	}
+	for _, tt := range tests {
 		m := newStreamModel(false)
 		m.stepAll(relay.Event{Kind: relay.EventPlaced}, relay.Event{Kind: relay.EventOpened, Conn: 1})
-		for i := range delivered {
+		for i := range tt.delivered {
 			m.stepAll(relay.Event{Kind: relay.EventFrame, Conn: 1, Frame: engine.Frame{Request: "req", Generation: "g", Offset: i}})
 		}
 		for range 200 {
@@ -225,6 +249,9 @@
 				m.now = wake
 			}
 			m.stepAll(relay.Event{Kind: relay.EventTick})
+			if m.last.Kind == relay.ActionStop && tt.ends {
+				m.stepAll(relay.Event{Kind: relay.EventEnded, Conn: m.last.Conn})
+			}
 			if m.last.Kind == relay.ActionPlace {
 				m.stepAll(relay.Event{Kind: relay.EventPlaced})
 			}
@@ -232,7 +259,7 @@
 				break
 			}
 		}
-		assert.Equal(t, m.last.Kind, relay.ActionFail)
+		assert.Equal(t, m.last.Kind, relay.ActionFail, tt.name)
 		assert.Assert(t, m.now.Sub(time.Unix(0, 0)) < 15*time.Second)
 	}
 }
@@ -253,6 +280,7 @@
 		{Kind: relay.EventRefused, Conn: 1},
 		{Kind: relay.EventProgress, Conn: 2, Progress: ahead},
 		{Kind: relay.EventProbeFailed, Conn: 1},
+		{Kind: relay.EventEnded, Conn: 2},
 	}
 	for _, e := range late {
 		t.Run(string(e.Kind), func(t *testing.T) {
@@ -263,7 +291,7 @@
 			m.now = m.machine.Wake()
 			m.stepAll(relay.Event{Kind: relay.EventTick})
 			assert.Equal(t, m.last.Kind, relay.ActionResume)
-			m.stepAll(relay.Event{Kind: relay.EventBroken, Conn: 2}, relay.Event{Kind: relay.EventPlaced}, e)
+			m.stepAll(relay.Event{Kind: relay.EventBroken, Conn: 2}, relay.Event{Kind: relay.EventEnded, Conn: 2}, relay.Event{Kind: relay.EventPlaced}, e)
 			assert.Assert(t, m.last.Kind == relay.ActionNone || m.last.Kind == relay.ActionDrop)
 			m.stepAll(relay.Event{Kind: relay.EventFrame, Conn: 3, Frame: engine.Frame{Request: "req-2", Generation: "new"}})
 			assert.Equal(t, m.last.Kind, relay.ActionDeliver)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,9 +8,6 @@
 	"log/slog"
 	"net/netip"
 	"sync"
-	"time"
-
-	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/board"
 	"github.com/tarragonspur/tarragonspur/internal/budget"
@@ -19,13 +16,6 @@
 	"github.com/tarragonspur/tarragonspur/internal/sched"
 )
 
-const (
-	probeTimeout     = 300 * time.Millisecond
-	cancelTimeout    = 300 * time.Millisecond
-	cancelRetryPause = 50 * time.Millisecond
-	cancelLimit      = time.Second
-)
-
 // Placer assigns backend servers to requests.
 type Placer interface {
 	Place(ctx context.Context, r sched.Request) (sched.Ticket, error)
@@ -35,6 +25,7 @@
 type Engines interface {
 	Start(ctx context.Context, addr netip.AddrPort, r engine.Request) (engine.Stream, error)
 	Resume(ctx context.Context, addr netip.AddrPort, id, generation string, offset int) (engine.Stream, error)
+	// Cancel returns nil or engine.ErrGone once the engine does not run the request, nor a start of it that arrives later.
 	Cancel(ctx context.Context, addr netip.AddrPort, id string) error
 	Progress(ctx context.Context, addr netip.AddrPort, id string) (engine.Progress, error)
 	// DiscardPool stops the use of the idle connections to an engine, because one to it failed or timed out.
@@ -98,43 +89,5 @@
 	return newSession(r, placement, request, sink).run(ctx)
 }
 
-// Close waits for the pending cancels of abandoned attempts, at most a second.
+// Close waits for the pending cancels of abandoned attempts, at most a second after the last Run has returned.
 func (r *Relay) Close() { r.cancels.Wait() }
-
-// cancelInBackground cancels a generation on its engine without blocking: with a non-nil run it first finds out
-// whether the engine crashed, then it retries the cancel until it succeeds or cancelLimit has passed.
-func (r *Relay) cancelInBackground(ctx context.Context, addr netip.AddrPort, id string, run *poison.Run) {
-	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelLimit)
-	r.cancels.Go(func() {
-		defer stop()
-		r.reportEngineState(ctx, addr, id, run)
-		for ctx.Err() == nil && r.cancel(ctx, addr, id) != nil {
-			select {
-			case <-time.After(cancelRetryPause):
-			case <-ctx.Done():
-			}
-		}
-	})
-}
-
-// reportEngineState reports to run whether the engine crashed or only the connection failed: a crashed engine
-// refuses connections, or has restarted and does not have the request.
-func (r *Relay) reportEngineState(ctx context.Context, addr netip.AddrPort, id string, run *poison.Run) {
-	if run == nil {
-		return
-	}
-	ctx, stop := context.WithTimeout(ctx, probeTimeout)
-	defer stop()
-	_, err := r.Engines.Progress(ctx, addr, id)
-	if err == nil || ctx.Err() != nil || errors.Is(err, engine.ErrRefused) {
-		run.Survived()
-		return
-	}
-	run.Died()
-}
-
-func (r *Relay) cancel(ctx context.Context, addr netip.AddrPort, id string) error {
-	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
-	defer stop()
-	return r.Engines.Cancel(ctx, addr, id)
-}
--- a/internal/relay/rules.go
+++ b/internal/relay/rules.go
@@ -8,6 +8,7 @@
 	DefaultProbeTimeout  = time.Second
 	DefaultGrace         = 100 * time.Millisecond
 	DefaultResumeTimeout = 5 * time.Second
+	DefaultStopTimeout   = 5 * time.Second
 	DefaultMaxStarts     = 4
 )
 
@@ -21,6 +22,8 @@
 	Grace time.Duration
 	// ResumeTimeout bounds the time for which resuming a lost generation is tried.
 	ResumeTimeout time.Duration
+	// StopTimeout bounds the wait for a sign that an abandoned attempt has ended.
+	StopTimeout time.Duration
 	// MaxStarts bounds the starts of one request, not counting engines that could not be reached.
 	MaxStarts int
 }
@@ -30,6 +33,7 @@
 	setDefault(&r.ProbeTimeout, DefaultProbeTimeout)
 	setDefault(&r.Grace, DefaultGrace)
 	setDefault(&r.ResumeTimeout, DefaultResumeTimeout)
+	setDefault(&r.StopTimeout, DefaultStopTimeout)
 	setDefault(&r.MaxStarts, DefaultMaxStarts)
 	return r
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -108,6 +108,10 @@
 			}
 			s.endAttempt(ctx, act.Abandon)
 			act = s.step(s.placeAttempt(ctx))
+		case ActionStop:
+			s.record(stepRetried, act.Abandon.String())
+			s.awaitEnd(ctx, act.Conn, s.endAttempt(ctx, act.Abandon))
+			act = s.wait(ctx)
 		default:
 			s.connect(ctx, act)
 			act = s.wait(ctx)
@@ -241,35 +245,51 @@
 	return r
 }
 
-// endAttempt releases the attempt, if one is open, and cancels its work unless it is complete or never ran.
-func (s *session) endAttempt(ctx context.Context, cause Cause) {
+// endAttempt releases the attempt, if one is open, and cancels its work unless it is complete or never ran. The returned
+// channel, nil without a cancel, says how the work is known to have ended.
+func (s *session) endAttempt(ctx context.Context, cause Cause) <-chan endProof {
 	if s.ticket == nil {
-		return
+		return nil
 	}
 	s.closeConn()
 	backend := s.ticket.Backend()
 	s.ticket.Release(sched.Outcome{Result: cause.result(), Tokens: s.checker.tokens, FirstToken: s.firstToken})
 	s.ticket = nil
-	id := AttemptID(s.request.ID, s.machine.attempt)
+	lost := abandoned{request: s.request.ID, attempt: s.machine.attempt, backend: backend, cause: cause}
 	switch cause {
 	case CauseLost:
 		s.placement.Exclude = append(s.placement.Exclude, backend.Name)
 		s.guardRun.Interrupted()
-		s.relay.cancelInBackground(ctx, backend.Address, id, s.guardRun)
+		lost.run = s.guardRun
+		return s.relay.stopInBackground(ctx, lost, s.machine.Rules.StopTimeout)
 	case CauseUnresponsive:
 		s.placement.Exclude = append(s.placement.Exclude, backend.Name)
 		s.guardRun.Ended(false)
 		s.relay.Engines.DiscardPool(backend.Address)
-		s.relay.cancelInBackground(ctx, backend.Address, id, nil)
+		return s.relay.stopInBackground(ctx, lost, s.machine.Rules.StopTimeout)
 	case CauseCallerLeft:
 		s.guardRun.Ended(false)
-		s.relay.cancelInBackground(ctx, backend.Address, id, nil)
+		return s.relay.stopInBackground(ctx, lost, s.machine.Rules.StopTimeout)
 	case CauseRefused, CauseUnreachable:
 		s.placement.Exclude = append(s.placement.Exclude, backend.Name)
 		s.guardRun.Ended(false)
 	case CauseNone:
 		s.guardRun.Ended(true)
 	}
+	return nil
+}
+
+// awaitEnd reports to the Machine when the abandoned attempt is known to have ended.
+func (s *session) awaitEnd(ctx context.Context, conn int, ended <-chan endProof) {
+	s.connections.Go(func() {
+		select {
+		case proof := <-ended:
+			if proof != proofNone {
+				s.sendEvent(ctx, Event{Kind: EventEnded, Conn: conn})
+			}
+		case <-ctx.Done():
+		}
+	})
 }
 
 func (s *session) count(ctx context.Context, method func(Meter, context.Context, string)) {
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -162,7 +162,7 @@
 // Allow allows a retry if the remaining events contain one.
 func (p *replayer) Allow() bool {
 	for _, e := range p.trace.Events[min(p.nextIndex, len(p.trace.Events)):] {
-		if e.Kind == relay.EventPlaced || e.Kind == relay.EventUnplaced {
+		if e.Kind == relay.EventPlaced || e.Kind == relay.EventUnplaced || e.Kind == relay.EventEnded {
 			return true
 		}
 	}
