test(call): a booking goes on only after the first server has not run it

It may not, on the code as it is: a call that may not be repeated is sent again only if no connection was made, or if the server refused it with a 503 that its service declares as a refusal before the run. Both are answers or facts; no timer or lost connection leads to a second send.

The stand-in counts calls received while another server works on one with the same body. Calls that a service declares as repeatable still go on while the first server may work: a plain service has no call that ends work.

--- a/internal/fakes/plain/plain.go
+++ b/internal/fakes/plain/plain.go
@@ -40,6 +40,9 @@
 type RunLog struct {
 	mu   sync.Mutex
 	runs []Run
+	// working counts the servers that work on calls with a body, overlaps the calls received while another one did.
+	working  map[string]int
+	overlaps int
 }
 
 // Runs returns all runs so far, in order.
@@ -49,6 +52,31 @@
 	return append([]Run(nil), log.runs...)
 }
 
+// Overlaps returns how many calls a server received while another one worked on a call with the same body.
+func (log *RunLog) Overlaps() int {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	return log.overlaps
+}
+
+// begin records that a server works on a call; the returned function ends that.
+func (log *RunLog) begin(body string) (end func()) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if log.working == nil {
+		log.working = make(map[string]int)
+	}
+	if log.working[body] > 0 {
+		log.overlaps++
+	}
+	log.working[body]++
+	return func() {
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		log.working[body]--
+	}
+}
+
 // add appends a run and returns the number of runs.
 func (log *RunLog) add(r Run) int {
 	log.mu.Lock()
@@ -116,6 +144,7 @@
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return
 	}
+	defer s.RunLog.begin(string(body))()
 	if f.Delay > 0 {
 		time.Sleep(f.Delay)
 	}
