fix(send): long heads of answers to the host's own calls are errors

What callers would see: faulty engines that answer the copies of a host's streams with long heads, as when a failure domain is left, make the host run out of memory; the requests of all callers at that host end with it.

Cause: the memory for long heads bounded those of callers' requests only.

Without a memory to take it from, a head that takes more than 16 KiB is now an error. Those of copies hold a few lines.

--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -67,7 +67,8 @@
 	HasBody bool
 	// OnConnected is called before the request is sent on its connection; may be nil.
 	OnConnected func()
-	// Memory is where a long head of the answer is taken from, and left to the caller if there is an answer; nil means no bound.
+	// Memory is where a long head of the answer is taken from, and left to the caller if there is an answer; nil means that long heads
+	// are errors.
 	Memory Memory
 }
 
@@ -179,10 +180,10 @@
 // take takes memory for what has been read.
 func (r *headReader) take() bool {
 	more := r.cost - smallHeadBytes - r.taken
-	if r.memory == nil || more <= 0 {
+	if more <= 0 {
 		return true
 	}
-	if !r.memory.Take(more) {
+	if r.memory == nil || !r.memory.Take(more) {
 		return false
 	}
 	r.taken += more
