--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -9,14 +9,16 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/send"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 const (
-	// unreachedInterval is the minimum time between two calls that end a run where the backend server is not reached, and moveInterval
-	// where it refuses.
-	unreachedInterval = 200 * time.Millisecond
-	moveInterval      = 50 * time.Millisecond
+	// unreachedInterval is the minimum time between two calls that end a run where the backend server is not reached, refusedInterval
+	// where it refuses, and backgroundInterval where it refuses in the background.
+	unreachedInterval  = 200 * time.Millisecond
+	backgroundInterval = time.Second
+	refusedInterval    = 50 * time.Millisecond
 	// moveTimeout bounds one such call. Copying the memory of a run takes up to a second.
 	moveTimeout = 1200 * time.Millisecond
 	// maxEndWait bounds how long a stream waits for the end of its run. Callers leave after a gap of 2 s.
@@ -56,29 +58,59 @@
 // moved is the result of ending a run.
 type moved struct {
 	ending ending
-	// copy is the copy that was made; empty without one.
+	// copy is the copy that was made, at the backend server with the ID at; empty without one.
 	copy Copy
+	at   string
 }
 
-// endRun asks a backend server once to end the run and to copy it to another one, unless it takes no more requests now. Nothing is copied
-// between regions, where it would hold up all later copies: the backend server then only says whether it works on the run.
-func (q *request) endRun(ctx context.Context, server pool.Server, to pool.Server) moved {
+// endRun asks a backend server once to end the run and to copy it to another one. If it takes no more requests now, a connection attempt
+// tells whether it is there.
+func (q *request) endRun(ctx context.Context, server, to pool.Server) moved {
 	if q.Pool.WaitToResume(server.ID) > 0 {
-		return moved{}
+		return moved{ending: connectionEnding(ctx, server)}
 	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
-	if to.Region != server.Region {
-		to = server
-	}
 	q.Pool.Sent(server.ID)
 	began := time.Now()
 	made, err := q.Copies.Move(ctx, server.Address, q.ID, to.Address)
-	m := moved{ending: endingOf(err), copy: made}
+	m := moved{ending: endingOf(err), copy: made, at: to.ID}
 	q.log.Info("run asked to end", "server", server.ID, "to", to.ID, "ending", m.ending.String(), "took", time.Since(began), "error", err)
 	return m
 }
 
+// copyTarget returns the backend server to which a run is copied as it ends: the next one, or another one of the run's region, because a
+// copy between regions holds up all later ones. Without any, the run's own server then only says whether it works on the run.
+func (q *request) copyTarget(server, next pool.Server) pool.Server {
+	if next.Region == server.Region && next.ID != server.ID {
+		return next
+	}
+	a := q.requirements()
+	a.Exclude, a.Source = append(slices.Clone(q.unreached), server.ID), &server
+	claim, err := q.Pool.ChooseCopy(a, pool.Migration, time.Now())
+	if err != nil {
+		return server
+	}
+	claim.Release()
+	return claim.Server
+}
+
+// connectionEnding returns what a connection attempt says of the runs of a backend server.
+func connectionEnding(ctx context.Context, server pool.Server) ending {
+	ctx, cancel := context.WithTimeout(ctx, unreachedInterval)
+	defer cancel()
+	conn, err := send.Connect(ctx, server.Address)
+	switch {
+	case err == nil:
+		conn.Close()
+		return endRefused
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return endGone
+	default:
+		return endUnknown
+	}
+}
+
 // endingOf returns what the error of a call to end a run says.
 func endingOf(err error) ending {
 	switch {
@@ -115,7 +147,7 @@
 	var made Copy
 	for i, server := range servers {
 		began := time.Now()
-		m := q.endWithin(ctx, maxEndWait, server, next)
+		m := q.endWithin(ctx, maxEndWait, server, q.copyTarget(server, next))
 		q.log.Info("end of the run awaited", "server", server.ID, "ending", m.ending.String(), "waited", time.Since(began))
 		switch {
 		case m.ending == endRefused:
@@ -124,30 +156,32 @@
 		case m.ending == endUnknown:
 			q.unreached = append(q.unreached, server.ID)
 			q.endInBackground(server, next)
-		case m.copy.Name != "":
+		case m.copy.Name != "" && m.at == next.ID:
 			made = m.copy
+		default:
+			q.freeUnused(m)
 		}
 	}
 	return made, nil
 }
 
 // endWithin asks a backend server to end the run until it certainly has, or for a time. It returns the last answer.
-func (q *request) endWithin(ctx context.Context, limit time.Duration, server, next pool.Server) moved {
+func (q *request) endWithin(ctx context.Context, limit time.Duration, server, to pool.Server) moved {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var last moved
 	for {
 		began := time.Now()
-		m := q.endRun(ctx, server, next)
+		m := q.endRun(ctx, server, to)
 		if m.ending != endUnknown {
 			last = m
 		}
 		if m.ending.isProof() {
 			return last
 		}
-		interval := moveInterval
+		interval := refusedInterval
 		if m.ending == endUnknown {
-			interval = max(moveInterval, unreachedInterval-time.Since(began))
+			interval = max(refusedInterval, unreachedInterval-time.Since(began))
 		}
 		if !ticks.Sleep(ctx, interval) {
 			return last
@@ -155,20 +189,37 @@
 	}
 }
 
-// endInBackground ends a run whose backend server could not be reached, in case the path to it comes back. A copy that is made thereby
-// is not needed.
+// endInBackground ends a run whose backend server could not be reached, in case the path to it comes back, until the host stops. A copy
+// that is made thereby is not needed.
 func (q *request) endInBackground(server, next pool.Server) {
+	to := q.copyTarget(server, next)
+	if to.ID == server.ID {
+		to = next
+	}
 	q.active.Add()
 	go func() {
 		defer q.active.Done()
-		m := q.endWithin(context.Background(), maxStopTime, server, next)
-		if m.copy.Name == "" {
-			return
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-		defer cancel()
-		if err := q.Copies.Free(ctx, m.copy.Address, m.copy.Name); err != nil {
-			q.log.Info("copy not freed", "server", server.ID, "copy", m.copy.Name, "error", err)
+		for began := time.Now(); time.Since(began) < maxStopTime && q.stop.Load() == nil; {
+			m := q.endWithin(context.Background(), unreachedInterval+refusedInterval, server, to)
+			if m.ending.isProof() {
+				q.freeUnused(m)
+				return
+			}
+			if m.ending == endRefused {
+				time.Sleep(backgroundInterval)
+			}
 		}
 	}()
 }
+
+// freeUnused deletes a copy that was made as a run ended and is not used.
+func (q *request) freeUnused(m moved) {
+	if m.copy.Name == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := q.Copies.Free(ctx, m.copy.Address, m.copy.Name); err != nil {
+		q.log.Info("copy not freed", "server", m.at, "copy", m.copy.Name, "error", err)
+	}
+}
--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -15,6 +15,8 @@
 	// endTimeout is how long a migrated run may take to end after its backend server has been told so over its connection. Between
 	// regions it takes 40 ms, and a lost packet takes another 200 ms.
 	endTimeout = 250 * time.Millisecond
+	// maxHandoverTime bounds the time from the choice of the copy's backend server, which may leave meanwhile, to the end of the run.
+	maxHandoverTime = time.Second
 	// standbyTime is how long a run must have gone on until its standby copy counts on being there: the run ends before its copy is used.
 	standbyTime = 600 * time.Millisecond
 	// prefillWait bounds how long after a shutdown notice a migration waits until its target has finished pending prefills:
@@ -32,6 +34,8 @@
 	isEndDue *time.Timer
 	// toldAt is when the source was told to end.
 	toldAt time.Time
+	// isAbsent is set once the source has answered that it has no such run.
+	isAbsent bool
 }
 
 // connectResult is the result of connecting to a copy's backend server.
@@ -115,7 +119,6 @@
 		return
 	}
 	h := s.handover
-	h.toldAt = time.Now()
 	h.isEndDue = time.NewTimer(endTimeout)
 	if s.current.isUnframed {
 		// Its end would look like a complete answer.
@@ -133,6 +136,7 @@
 	s.isConnecting = false
 	if c.err == nil {
 		s.handover = c.handover
+		s.handover.toldAt = time.Now()
 		return true
 	}
 	if c.handover != nil {
@@ -148,34 +152,66 @@
 
 // endDue returns the channel that fires when the run's source should have ended; nil without a migration.
 func (s *session) endDue() <-chan time.Time {
-	if s.handover == nil {
+	if s.handover == nil || s.cancelEnding != nil {
 		return nil
 	}
 	return s.handover.isEndDue.C
 }
 
-// handleEndDue asks the backend server to end a run that has not ended in time. Until it has, its events are forwarded.
-func (s *session) handleEndDue() error {
+// askToEnd asks the backend server to end a run that has not ended in time. Until it has, its events are forwarded.
+func (s *session) askToEnd() {
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.cancelEnding = cancel
+	s.current.isAsked = true
+	source := s.current.lease.Server
+	to := s.copyTarget(source, s.handover.lease.Server)
+	go func() { s.endResults <- s.endRun(ctx, source, to) }()
+}
+
+// stopAsking cancels the call of askToEnd, if one is in progress, and returns its result.
+func (s *session) stopAsking() moved {
+	if s.cancelEnding == nil {
+		return moved{}
+	}
+	s.cancelEnding()
+	s.cancelEnding = nil
+	return <-s.endResults
+}
+
+// handleEnded goes on elsewhere if the backend server has ended the run.
+func (s *session) handleEnded(m moved) error {
+	s.cancelEnding()
+	s.cancelEnding = nil
 	h := s.handover
-	m := s.endRun(s.ctx, s.current.lease.Server, h.lease.Server)
 	switch {
+	case m.ending == endMoved:
+		s.useInstead(h.standby, m)
+	case m.ending == endAbsent && (h.isAbsent || s.current.isUnframed):
 	case m.ending == endAbsent:
 		// The rest of its answer is on the way.
+		h.isAbsent = true
+		h.isEndDue.Reset(endTimeout)
+		return nil
+	case time.Since(h.claimedAt) > maxHandoverTime:
+		s.log.Info("migration given up: the run has not ended", "server", s.current.lease.Server.ID, "last_event", s.lastNumber)
+		s.dropHandover()
 		return nil
-	case !m.ending.isProof():
+	default:
+		// A port that is closed proves nothing while the connection is open.
 		h.isEndDue.Reset(endTimeout)
 		return nil
-	case m.ending == endMoved:
-		s.useInstead(h.standby, m.copy)
 	}
 	s.current.isEnded = true
 	return s.goOnElsewhere(errors.Newf("the run was ended: %s", m.ending))
 }
 
-// useInstead replaces a copy by a newer one at the same backend server.
-func (s *session) useInstead(sb *standby, newer Copy) {
-	s.discard(&standby{claim: sb.claim, copy: sb.copy})
-	sb.copy, sb.copiedAt = newer, time.Now()
+// useInstead replaces a copy by the one that was made as the run ended, if that is at the same backend server.
+func (s *session) useInstead(sb *standby, m moved) {
+	if m.at != sb.claim.Server.ID {
+		s.freeUnused(m)
+		return
+	}
+	sb.copy, sb.copiedAt = m.copy, time.Now()
 }
 
 // dropHandover ends a migration that is not needed any more.
@@ -199,8 +235,9 @@
 
 // claimedCopy is a copy that is about to be used, with the lease for the run.
 type claimedCopy struct {
-	standby *standby
-	lease   *pool.Lease
+	standby   *standby
+	lease     *pool.Lease
+	claimedAt time.Time
 }
 
 // claimCopy replaces a copy's memory claim by a lease for the run.
@@ -215,7 +252,7 @@
 		s.discard(sb)
 		return nil, err
 	}
-	return &claimedCopy{standby: sb, lease: lease}, nil
+	return &claimedCopy{standby: sb, lease: lease, claimedAt: time.Now()}, nil
 }
 
 // openFromCopy resumes the run from a copy over a connection; every answer other than a stream is an error.
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -38,6 +38,9 @@
 	before.standby = nil
 	s.current = nil
 	s.request.close(before)
+	if m := s.stopAsking(); m.ending == endMoved && s.handover != nil {
+		s.useInstead(s.handover.standby, m)
+	}
 	if !before.isEnded {
 		s.addUnended(before.lease.Server)
 	}
@@ -73,6 +76,9 @@
 		}
 		s.Meter.Resumed("refused")
 		s.log.Info("stream could not go on elsewhere", "server", h.lease.Server.ID, "error", err, "last_event", s.lastNumber)
+		if errors.Is(err, errAtWork) {
+			return nil, err
+		}
 	}
 	if sb != nil {
 		if wait := s.Pool.WaitToResume(sb.claim.Server.ID); wait > 0 && wait <= maxResumeWait {
@@ -89,6 +95,9 @@
 			return f, nil
 		}
 		s.log.Info("copy could not go on", "server", sb.claim.Server.ID, "error", err)
+		if errors.Is(err, errAtWork) {
+			return nil, err
+		}
 	}
 	if !s.started || !s.route.Resumable || int(s.runs.Load()) >= s.route.MaxAttempts || !s.Budget.Allow(s.service.Name, true) {
 		return nil, errors.New("no copy to resume from")
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -37,6 +37,9 @@
 	isConnecting   bool
 	copyResults    chan copyResult
 	isCopying      bool
+	// endResults carries the result of the goroutine that runs while cancelEnding is set.
+	endResults   chan moved
+	cancelEnding context.CancelFunc
 	// leavingSince is when a migration of the run became due; zero while none waits.
 	leavingSince time.Time
 	// nextCopyAt is the earliest time of the next copy on demand after a failed one.
@@ -58,7 +61,7 @@
 // stream answers a request with a stream of events.
 func (q *request) stream(ctx context.Context) error {
 	q.Budget.Arrived(q.service.Name)
-	s := &session{request: q, lastNumber: noEvent, connectResults: make(chan connectResult, 1), copyResults: make(chan copyResult, 1)}
+	s := &session{request: q, lastNumber: noEvent, connectResults: make(chan connectResult, 1), endResults: make(chan moved, 1), copyResults: make(chan copyResult, 1)}
 	if number, err := strconv.Atoi(q.LastEvent); err == nil {
 		s.lastNumber = number
 	}
@@ -126,7 +129,9 @@
 		case c := <-s.copyResults:
 			s.handleCopied(c)
 		case <-s.endDue():
-			if err := s.handleEndDue(); err != nil {
+			s.askToEnd()
+		case m := <-s.endResults:
+			if err := s.handleEnded(m); err != nil {
 				return err
 			}
 		case <-ticker.C:
@@ -143,6 +148,8 @@
 		defer close(p.forwarded)
 	}
 	switch {
+	case errors.Is(p.err, io.EOF) && s.current.isUnframed && s.current.isAsked:
+		return false, s.resume(io.ErrUnexpectedEOF)
 	case errors.Is(p.err, io.EOF) && s.started && s.current.began.IsZero() && s.current.header.Get("Content-Type") != s.contentType:
 		return false, s.resume(errors.New("an answer that is no stream came in its place"))
 	case errors.Is(p.err, io.EOF):
@@ -247,6 +254,7 @@
 	if s.isConnecting {
 		s.keepConnected(<-s.connectResults)
 	}
+	s.freeUnused(s.stopAsking())
 	s.dropHandover()
 	if s.isCopying {
 		c := <-s.copyResults
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -52,6 +52,9 @@
 	cancel  context.CancelFunc
 	// answer is the answer that the events are read from.
 	answer *send.Answer
+	// isAsked is set once the backend server has been asked to end the run: then the end of an unframed answer does not say that it is
+	// complete.
+	isAsked bool
 	// isEnded is set once the run is certain to have ended.
 	isEnded bool
 }
@@ -125,6 +128,9 @@
 func (q *request) openUpstream(ctx context.Context, lease *pool.Lease, s ForwardMetadata, conn *send.Conn) (*upstream, *fullAnswer, error) {
 	f := &upstream{lease: lease}
 	made, err := q.awaitEnds(ctx, lease.Server)
+	if err == nil {
+		err = ctx.Err()
+	}
 	if err != nil {
 		if conn != nil {
 			conn.Close()
