feat(plat): stand-in backend servers record runs, slow down and notice ends late

A server keeps the time at which it began and ended to work on each stream; it can be slowed down and can notice the end of a connection late while it runs; a crash ends its runs. The town has a route for streams that any backend server may resume.

--- a/internal/fakes/plat/server.go
+++ b/internal/fakes/plat/server.go
@@ -25,6 +25,8 @@
 	Ran bool
 	// At is the time at which the request was received.
 	At time.Time
+	// BeganAt and EndedAt are the times at which the server began and ended to work on a stream; zero before.
+	BeganAt, EndedAt time.Time
 
 	// states are the header lines that the server adds to its response.
 	states string
@@ -36,6 +38,14 @@
 // ResumesRun reports whether the request resumes a run from a copy of its KV cache.
 func (r *Request) ResumesRun() bool { return r.Header.Get("Kv-From") != "" }
 
+// GoesOn reports whether the request goes on with a stream, from a copy or without one.
+func (r *Request) GoesOn() bool { return r.ResumesRun() || r.Header.Get("Last-Event-Id") != "" }
+
+// HeadGoesOn reports the same of the head of a request as it was sent.
+func HeadGoesOn(head string) bool {
+	return strings.Contains(head, "Kv-From: ") || strings.Contains(head, "Last-Event-Id: ")
+}
+
 // CopyRegistry holds the copies of runs' KV caches; the backend servers of a deployment share it.
 type CopyRegistry struct {
 	mu     sync.Mutex
@@ -75,6 +85,9 @@
 	runs map[string]chan struct{}
 	// renames counts the calls of Rename.
 	renames int
+	// slowdown is added to each pause of a stream, and noticeDelay is the time until the server notices the end of a stream's
+	// connection.
+	slowdown, noticeDelay time.Duration
 }
 
 // ListenAddress has a port chosen by the kernel, at an address that no outgoing connection has: the port stays available
@@ -127,7 +140,21 @@
 	return fmt.Sprintf("%s-%d", s.ID, s.renames)
 }
 
-// Crash closes the listener and resets all connections.
+// SlowDown adds a time to each pause between events from now on.
+func (s *Server) SlowDown(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowdown = by
+}
+
+// DelayNotice makes the server notice the end of a stream's connection later from now on.
+func (s *Server) DelayNotice(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noticeDelay = by
+}
+
+// Crash ends all runs, closes the listener and resets all connections.
 func (s *Server) Crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -139,6 +166,10 @@
 		}
 		_ = c.Close()
 	}
+	for _, stopped := range s.runs {
+		close(stopped)
+	}
+	clear(s.runs)
 }
 
 // Address returns the address that the server listens on.
@@ -308,18 +339,20 @@
 	go func() {
 		_, _ = br.ReadByte()
 		if !s.IgnoresEnds {
+			_, delay := s.pace()
+			time.Sleep(delay)
 			close(closed)
 		}
 	}()
-	stopped := s.begin(id)
-	defer s.end(id, stopped)
+	stopped := s.begin(r)
+	defer s.end(r, stopped)
 	WriteStreamHeader(conn, r)
 	for n := first; n < s.Events; n++ {
-		if WriteChunk(conn, Event(id, n)) != nil && !s.IgnoresEnds {
-			return
-		}
+		// A failed write shows in the reader of the connection too.
+		_ = WriteChunk(conn, Event(id, n))
+		pause, _ := s.pace()
 		select {
-		case <-time.After(s.Pause):
+		case <-time.After(pause):
 		case <-closed:
 			return
 		case <-stopped:
@@ -329,24 +362,33 @@
 	_ = WriteChunk(conn, "")
 }
 
+// pace returns the current pause between two events and the time until the end of a connection is noticed.
+func (s *Server) pace() (pause, noticeDelay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Pause + s.slowdown, s.noticeDelay
+}
+
 // begin registers a run at work and returns the channel that stops it.
-func (s *Server) begin(id string) chan struct{} {
+func (s *Server) begin(r *Request) chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r.BeganAt = time.Now()
 	if s.runs == nil {
 		s.runs = make(map[string]chan struct{})
 	}
 	stopped := make(chan struct{})
-	s.runs[id] = stopped
+	s.runs[r.Attempt()] = stopped
 	return stopped
 }
 
 // end removes a run at work unless another one has its place.
-func (s *Server) end(id string, stopped chan struct{}) {
+func (s *Server) end(r *Request, stopped chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.runs[id] == stopped {
-		delete(s.runs, id)
+	r.EndedAt = time.Now()
+	if s.runs[r.Attempt()] == stopped {
+		delete(s.runs, r.Attempt())
 	}
 }
 
--- a/internal/fakes/town/town.go
+++ b/internal/fakes/town/town.go
@@ -41,6 +41,8 @@
 	BookPath = "/book/"
 	// ReportPath is for requests answered by long streams, which callers can't resume.
 	ReportPath = "/report/"
+	// NotePath is for requests answered by long streams, which may be resumed at any backend server.
+	NotePath = "/note/"
 )
 
 const (
@@ -123,12 +125,15 @@
 			"timeoutMs": timeout.Milliseconds(), "maxAttempts": attempts,
 		}
 	}
+	note := route("note", NotePath, "streaming", modelService, 9*time.Second, 2)
+	note["resumable"] = true
 	p.Store.Put("config", "main", fields{
 		"version": p.version,
 		"routes": []fields{
 			route("read", readPath, "idempotent", plainService, 2*time.Second, 2),
 			route("book", BookPath, "non_idempotent", plainService, 2*time.Second, 1),
 			route("report", ReportPath, "streaming", modelService, 9*time.Second, 1),
+			note,
 		},
 		"services": []fields{
 			{"name": plainService},
@@ -143,7 +148,7 @@
 // CallerHeader returns the header that a caller sends with an attempt at a path.
 func CallerHeader(attempt, path string) http.Header {
 	h := http.Header{"Attempt-Id": {attempt}, "Key": {Key}, "Deadline-Ms": {fmt.Sprint(CallerTimeout.Milliseconds())}}
-	if path == ReportPath {
+	if path == ReportPath || path == NotePath {
 		h.Set("Token-Usage", "500,4000")
 	}
 	return h
