--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -26,8 +26,12 @@
 	// The transport pools connections by host, so open ones are reused until the host's process ends.
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}
 	defer client.CloseIdleConnections()
+	paths := []string{town.ReadPath, town.BookPath, town.ReportPath}
+	if c.soak.HasPathFaults {
+		paths = append(paths, town.NotePath)
+	}
 	for n := 0; ctx.Err() == nil; n++ {
-		path := []string{town.ReadPath, town.BookPath, town.ReportPath}[c.rand.IntN(3)]
+		path := paths[c.rand.IntN(len(paths))]
 		id := fmt.Sprintf("%x-%d", c.rand.Uint32(), n)
 		host := c.soak.hosts[c.rand.IntN(len(c.soak.hosts))]
 		header := town.CallerHeader(id, path)
@@ -36,6 +40,7 @@
 			town.SetPrompt(header, id, isDeadly)
 		}
 		o := outcome{path: path, id: id, host: host.index, isDeadly: isDeadly, sentAt: time.Now()}
+		c.soak.owners.add(id, host.index)
 		c.send(ctx, client, host, header, &o)
 		c.soak.recorder.record(o)
 		select {
@@ -75,7 +80,7 @@
 
 // expectedBody returns the body of the correct response to a request.
 func expectedBody(path, id string) string {
-	if path != town.ReportPath {
+	if path != town.ReportPath && path != town.NotePath {
 		return "answer to " + id
 	}
 	var b strings.Builder
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -180,3 +180,12 @@
 		return affects && !one.start.After(at) && (one.end.IsZero() || one.end.After(at.Add(-contactTime)))
 	})
 }
+
+// wasHarmed reports whether a fault of a host itself or of its links affected it between two moments.
+func (d *disturbances) wasHarmed(host int, from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.spans, func(one *span) bool {
+		return one.host == host && !one.start.After(to) && (one.end.IsZero() || one.end.After(from))
+	})
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -111,10 +111,9 @@
 	}
 }
 
-// injectFaults injects faults drawn from the seed for Duration and returns when each is undone.
-func (s *Soak) injectFaults(ctx context.Context) {
-	r := rand.New(rand.NewPCG(s.Seed, 0))
-	all := faults()
+// injectFaults injects faults drawn from a stream of the seed for Duration and returns when each is undone.
+func (s *Soak) injectFaults(ctx context.Context, stream uint64, all []fault) {
+	r := rand.New(rand.NewPCG(s.Seed, stream))
 	end := time.Now().Add(s.Duration)
 	done := make(chan struct{})
 	active := 0
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -44,7 +44,20 @@
 	listener   net.Listener
 	mode       mode
 	conns      map[net.Conn]bool
+	links      map[*link]bool
 	goroutines sync.WaitGroup
+	// endCut ends the span of the current mode in cuts; nil while the mode lets everything through.
+	endCut func()
+
+	// Owners tells which host sends a request; nil if paths of single hosts are not disturbed.
+	Owners *owners
+	// cuts records when the path of a host was cut or silent.
+	cuts disturbances
+	// silences counts, by path, the faults that keep it silent; changed is closed and replaced at each change.
+	silences map[silence]int
+	changed  chan struct{}
+	// resumedAt holds when a request that resumes a run was sent, by its ID.
+	resumedAt map[string]time.Time
 }
 
 func newProxy(ctx context.Context, target netip.AddrPort) (*proxy, error) {
@@ -52,7 +65,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "start proxy")
 	}
-	p := &proxy{target: target, address: netip.MustParseAddrPort(l.Addr().String()), listener: l, conns: make(map[net.Conn]bool)}
+	p := &proxy{
+		target: target, address: netip.MustParseAddrPort(l.Addr().String()), listener: l, conns: make(map[net.Conn]bool), links: make(map[*link]bool),
+		silences: make(map[silence]int), changed: make(chan struct{}), resumedAt: make(map[string]time.Time),
+	}
 	p.goroutines.Add(1)
 	go p.accept(l)
 	return p, nil
@@ -83,6 +99,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	if p.endCut != nil {
+		p.endCut()
+		p.endCut = nil
+	}
+	if m == dropResponses || m == blackhole {
+		p.endCut = p.cuts.begin(allHosts)
+	}
 }
 
 func (p *proxy) currentMode() mode {
@@ -135,21 +158,30 @@
 	}
 	p.track(server)
 	defer p.closeAndUntrack(server)
+	l := &link{near: conn, host: unknownHost}
+	p.trackLink(l)
+	defer p.untrackLink(l)
 	ended := make(chan struct{}, 2)
-	go func() { p.copy(server, conn, false); ended <- struct{}{} }()
-	go func() { p.copy(conn, server, true); ended <- struct{}{} }()
+	go func() { p.copy(server, conn, l, false); ended <- struct{}{} }()
+	go func() { p.copy(conn, server, l, true); ended <- struct{}{} }()
 	<-ended
-	_, _ = conn.Close(), server.Close()
+	if !p.isDetached(l) {
+		_, _ = conn.Close(), server.Close()
+	}
 	<-ended
 }
 
 // copy copies data from one connection to the other as the mode says. Once data was dropped, the connection delivers
 // nothing more in that direction, because TCP never delivers what follows a gap.
-func (p *proxy) copy(to, from net.Conn, isResponse bool) {
+func (p *proxy) copy(to, from net.Conn, l *link, isResponse bool) {
 	buf := make([]byte, bufferBytes)
 	hasDropped := false
 	for {
 		n, err := from.Read(buf)
+		if !isResponse {
+			p.identify(l, string(buf[:n]))
+		}
+		p.awaitPath(l, isResponse)
 		m := p.currentMode()
 		if m == delaying {
 			time.Sleep(delay)
@@ -157,6 +189,7 @@
 		hasDropped = hasDropped || n > 0 && (m == blackhole || m == dropResponses && isResponse)
 		if !hasDropped {
 			if _, err := to.Write(buf[:n]); err != nil {
+				p.endAfterWrite(l, from, isResponse)
 				return
 			}
 		}
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -75,7 +75,7 @@
 			report("request %s got a wrong, incomplete or unsigned response: %.80q", o.id, o.body)
 		case o.err != nil && o.body != "" && !strings.HasPrefix(expectedBody(o.path, o.id), o.body):
 			report("request %s got a wrong partial response: %.80q", o.id, o.body)
-		case isNotRunResponse(o) && o.path != town.ReadPath && runs[o.id] > 0:
+		case isNotRunResponse(o) && o.path != town.ReadPath && o.path != town.NotePath && runs[o.id] > 0:
 			report("request %s was refused as not run, but ran", o.id)
 		case o.err == nil && o.status >= http.StatusBadRequest && o.status < http.StatusInternalServerError && !isNotRunResponse(o):
 			report("request %s was denied with status %d", o.id, o.status)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	DeadlyRatio float64
 	// HasStatements makes servers state a limit and that they leave, and another writer leave an odd entry among theirs.
 	HasStatements bool
+	// HasPathFaults disturbs the paths between single hosts and backend servers, and slows backend servers down.
+	HasPathFaults bool
 	// Hosts, Engines and Callers are the numbers of entry hosts, backend servers and callers.
 	Hosts, Engines, Callers int
 	// Binary is the path of the program that runs as an entry host.
@@ -56,6 +59,8 @@
 	crasher       crasher
 	stater        stater
 	disturbances  disturbances
+	owners        owners
+	pauser        pauser
 }
 
 // Run runs the test; if a guarantee was violated, it returns ErrGuaranteeViolated with the first violation.
@@ -88,7 +93,16 @@
 			s.state(runCtx)
 		}
 	}()
-	s.injectFaults(runCtx)
+	pathFaultsEnded := make(chan struct{})
+	go func() {
+		defer close(pathFaultsEnded)
+		if s.HasPathFaults {
+			s.injectFaults(runCtx, pathFaultStream, pathFaults())
+		}
+	}()
+	s.injectFaults(runCtx, 0, faults())
+	<-pathFaultsEnded
+	s.pauser.pauses.Wait()
 	s.undoAllFaults()
 	s.recorder.startRecovery()
 	<-runCtx.Done()
@@ -108,6 +122,9 @@
 		s.serverProxies = append(s.serverProxies, p)
 		e.Public = p.address
 		e.Script = s.crasher.script(ctx, e, p)
+		if s.HasPathFaults {
+			s.preparePathFaults(e, p)
+		}
 		s.town.Register(e, false)
 	}
 	for i := range s.Hosts {
@@ -154,12 +171,16 @@
 	if s.HasStatements {
 		violations = append(violations, s.checkStated()...)
 	}
+	if s.HasPathFaults {
+		violations = append(violations, s.checkOverlaps()...)
+	}
 	fmt.Fprintf(s.Out, "seed %d: %s, %d guarantees violated\n", s.Seed, s.recorder.summary(), len(violations))
 	for _, b := range violations {
 		fmt.Fprintln(s.Out, "  ", b)
 	}
 	if len(violations) > 0 {
-		return errors.Wrapf(ErrGuaranteeViolated, "seed %d: %s", s.Seed, violations[0])
+		first, _, _ := strings.Cut(violations[0], "\n")
+		return errors.Wrapf(ErrGuaranteeViolated, "seed %d: %s", s.Seed, first)
 	}
 	return nil
 }
