feat(soak): a proxy passes on the end of one direction as such

A host that closed only its own end of a connection read the end of the other one at once, from the proxy and not from the backend server: a server that notices the end late, or a path that is silent, would have looked like one that had ended the run. The end of what the host sends now closes only that direction, once the path lets it through; other ends are passed on as before.

--- a/internal/soak/paths.go
+++ b/internal/soak/paths.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"math/rand/v2"
 	"net"
 	"regexp"
@@ -143,19 +142,6 @@
 	}
 }
 
-// endAfterWrite handles a failed write: the backend server notices only that the host has closed the connection, and only
-// through a path that is not silent.
-func (p *proxy) endAfterWrite(l *link, from net.Conn, isResponse bool) {
-	if !isResponse {
-		return
-	}
-	if p.isDetached(l) {
-		_, _ = io.Copy(io.Discard, from)
-		return
-	}
-	p.awaitPath(l, false)
-}
-
 func (p *proxy) isDetached(l *link) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -162,18 +162,44 @@
 	p.trackLink(l)
 	defer p.untrackLink(l)
 	ended := make(chan struct{}, 2)
-	go func() { p.copy(server, conn, l, false); ended <- struct{}{} }()
-	go func() { p.copy(conn, server, l, true); ended <- struct{}{} }()
+	go func() { p.copyRequests(server, conn, l); ended <- struct{}{} }()
+	go func() { p.copyResponses(conn, server, l); ended <- struct{}{} }()
 	<-ended
-	if !p.isDetached(l) {
+	<-ended
+}
+
+// copyRequests copies what the host sends. The end of that leaves the other direction open, as the host may have closed only its own.
+func (p *proxy) copyRequests(server, conn net.Conn, l *link) {
+	isWhole, err := p.copy(server, conn, l, false)
+	if p.isDetached(l) {
+		return
+	}
+	far, isTCP := server.(*net.TCPConn)
+	if !isTCP || !errors.Is(err, io.EOF) {
 		_, _ = conn.Close(), server.Close()
+		return
+	}
+	if isWhole {
+		_ = far.CloseWrite()
 	}
-	<-ended
 }
 
-// copy copies data from one connection to the other as the mode says. Once data was dropped, the connection delivers
-// nothing more in that direction, because TCP never delivers what follows a gap.
-func (p *proxy) copy(to, from net.Conn, l *link, isResponse bool) {
+// copyResponses copies what the server sends. The server notices that the host has gone only through a path that is not silent.
+func (p *proxy) copyResponses(conn, server net.Conn, l *link) {
+	_, err := p.copy(conn, server, l, true)
+	if p.isDetached(l) {
+		_, _ = io.Copy(io.Discard, server)
+		return
+	}
+	if !errors.Is(err, io.EOF) {
+		p.awaitPath(l, false)
+	}
+	_, _ = conn.Close(), server.Close()
+}
+
+// copy copies data from one connection to the other as the mode says and returns the error that ended it. Once data was dropped, the
+// connection delivers nothing more in that direction, because TCP never delivers what follows a gap; isWhole says that nothing was.
+func (p *proxy) copy(to, from net.Conn, l *link, isResponse bool) (isWhole bool, err error) {
 	buf := make([]byte, bufferBytes)
 	hasDropped := false
 	for {
@@ -189,12 +215,11 @@
 		hasDropped = hasDropped || n > 0 && (m == blackhole || m == dropResponses && isResponse)
 		if !hasDropped {
 			if _, err := to.Write(buf[:n]); err != nil {
-				p.endAfterWrite(l, from, isResponse)
-				return
+				return true, err
 			}
 		}
 		if err != nil {
-			return
+			return !hasDropped, err
 		}
 	}
 }
