test(soak): seeds on which two backend servers were at work on one stream

Faults are drawn from the seed, but their effect depends on timing: a seed that shows the fault does not show it in every run, so the ones kept are those that did in each of two or three runs. What the hosts' logs say of each:

- 102: silent for 0.93 s, 'connection reset by peer' as the path is back, 'stream resumed from its copy' 34 ms later; the server before worked on for 1.2 s.
- 113: reset after 10 ms of silence, the same 55 ms later; the server before worked on for 1.7 s.
- 25: 'stream leaves its backend server', 'stream moved' after 0.3 to 1.6 ms; the server before worked on for 1.1 s until its stream's end.
- 104: both kinds.

--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -66,3 +66,24 @@
 	}
 	assert.NilError(t, s.Run(t.Context()), out.String())
 }
+
+// TestStreamIsAtWorkAtOneServer has seeds on which two backend servers were at work on one stream.
+func TestStreamIsAtWorkAtOneServer(t *testing.T) {
+	binary := buildBinary(t)
+	for _, tc := range []struct {
+		seed  uint64
+		cause string
+	}{
+		{102, "the path was silent and back when the host's connections failed, and the stream went on from its copy at once"},
+		{113, "connections ended at the host only, and the stream went on from its copy without a word to the server before"},
+		{25, "a live migration sent the request to the copy before the server that left had noticed the end of its connection"},
+		{104, "the stream left a server that was not asked whether its run had ended, after a break as well as in a migration"},
+	} {
+		t.Run(tc.cause, func(t *testing.T) {
+			t.Parallel()
+			var out bytes.Buffer
+			s := &Soak{Seed: tc.seed, Duration: 4 * time.Second, HasPathFaults: true, Hosts: 6, Engines: 8, Callers: 24, Binary: binary, Out: &out}
+			assert.NilError(t, s.Run(t.Context()), out.String())
+		})
+	}
+}
