--- a/internal/soak/overlap.go
+++ b/internal/soak/overlap.go
@@ -31,7 +31,7 @@
 func (s *Soak) checkOverlaps() []string {
 	var violations []string
 	all := s.runs()
-	moved, excused := 0, 0
+	moved, excused, longest := 0, 0, time.Duration(0)
 	for _, id := range slices.Sorted(maps.Keys(all)) {
 		runs := all[id]
 		host, isKnown := s.owners.of(id)
@@ -46,6 +46,7 @@
 				}
 				moved++
 				overlap := before.ended.Sub(later.began)
+				longest = max(longest, overlap)
 				switch {
 				case overlap <= maxOverlap:
 				case s.disturbances.wasHarmed(host, later.sentAt.Add(-harmTime), later.began),
@@ -57,7 +58,8 @@
 			}
 		}
 	}
-	fmt.Fprintf(s.Out, "seed %d: %d streams went on elsewhere, %d overlapped too long, %d more while their hosts were harmed\n", s.Seed, moved, len(violations), excused)
+	fmt.Fprintf(s.Out, "seed %d: %d streams went on elsewhere, %d overlapped too long, %d more while their hosts were harmed; the longest overlap was %s\n",
+		s.Seed, moved, len(violations), excused, longest.Round(time.Millisecond))
 	return violations
 }
 
