feat(soak): a silent path may outlast the connections that time out on it

On every second host the connections of a silent path end 1.8 s before the path is back, so that the backend server before can't be reached while the stream goes on, and works on once it can. The summary tells for how long.

--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -189,3 +189,22 @@
 		return one.host == host && !one.start.After(to) && (one.end.IsZero() || one.end.After(from))
 	})
 }
+
+// lastEnd returns the end of the last disturbance of a host before a moment, and that moment if one lasts.
+func (d *disturbances) lastEnd(host int, before time.Time) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var last time.Time
+	for _, one := range d.spans {
+		if one.host != host && one.host != allHosts || one.start.After(before) {
+			continue
+		}
+		if one.end.IsZero() || one.end.After(before) {
+			return before
+		}
+		if one.end.After(last) {
+			last = one.end
+		}
+	}
+	return last
+}
--- a/internal/soak/overlap.go
+++ b/internal/soak/overlap.go
@@ -31,7 +31,8 @@
 func (s *Soak) checkOverlaps() []string {
 	var violations []string
 	all := s.runs()
-	moved, excused, longest := 0, 0, time.Duration(0)
+	moved, excused := 0, 0
+	var longest, longestAfterCut time.Duration
 	for _, id := range slices.Sorted(maps.Keys(all)) {
 		runs := all[id]
 		host, isKnown := s.owners.of(id)
@@ -49,17 +50,19 @@
 				longest = max(longest, overlap)
 				switch {
 				case overlap <= maxOverlap:
-				case s.disturbances.wasHarmed(host, later.sentAt.Add(-harmTime), later.began),
-					s.serverProxies[before.server].cuts.wasDisturbed(host, later.sentAt, later.began):
+				case s.disturbances.wasHarmed(host, later.sentAt.Add(-harmTime), later.began):
 					excused++
+				case s.serverProxies[before.server].cuts.wasDisturbed(host, later.sentAt, later.began):
+					excused++
+					longestAfterCut = max(longestAfterCut, before.ended.Sub(s.serverProxies[before.server].cuts.lastEnd(host, before.ended)))
 				default:
 					violations = append(violations, s.describeOverlap(id, s.hosts[host], before, later))
 				}
 			}
 		}
 	}
-	fmt.Fprintf(s.Out, "seed %d: %d streams went on elsewhere, %d overlapped too long, %d more while their hosts were harmed; the longest overlap was %s\n",
-		s.Seed, moved, len(violations), excused, longest.Round(time.Millisecond))
+	fmt.Fprintf(s.Out, "seed %d: %d streams went on elsewhere, %d overlapped too long, %d more while their hosts were harmed; the longest overlap was %s, the longest after a path was back %s\n",
+		s.Seed, moved, len(violations), excused, longest.Round(time.Millisecond), longestAfterCut.Round(time.Millisecond))
 	return violations
 }
 
--- a/internal/soak/paths.go
+++ b/internal/soak/paths.go
@@ -23,6 +23,8 @@
 	// minHostPause and maxHostPause bound the pause of a host that has sent a request to a copy.
 	minHostPause = 300 * time.Millisecond
 	maxHostPause = 1500 * time.Millisecond
+	// timedOutSilence is for how long a path stays silent after its host's connections have timed out.
+	timedOutSilence = 1800 * time.Millisecond
 	// unknownHost is the host of a connection that has not sent a request yet.
 	unknownHost = -2
 )
@@ -228,7 +230,10 @@
 		{"path silent until the host's connections time out", func(s *Soak, r *rand.Rand) func() {
 			h, p := s.drawPath(r)
 			undo := p.silencePath(h, true, true)
-			return func() { undo(); p.resetHost(h) }
+			if h%2 == 0 {
+				return func() { undo(); p.resetHost(h) }
+			}
+			return func() { p.resetHost(h); time.Sleep(timedOutSilence); undo() }
 		}},
 		{"connections reset at the host only", func(s *Soak, r *rand.Rand) func() {
 			h, p := s.drawPath(r)
