--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,7 @@
 	keepAliveIdle   = time.Second
 	keepAliveCount  = 3
 	maxReportBytes  = 1 << 20
+	maxHeadBytes    = 16 << 10
 	contentTypeJSON = "application/json"
 	pathGenerations = "/v1/generations"
 	pathLoad        = "/v1/load"
@@ -58,10 +60,11 @@
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
 	}}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: maxIdlePerBackend,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    maxIdlePerBackend,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -111,7 +114,8 @@
 	return open(ctx, c.unpooled, http.MethodGet, requestURL(addr, pathGenerations+"/"+url.PathEscape(id)+"/stream", query), nil)
 }
 
-// Cancel ends the request's generation; it is idempotent.
+// Cancel ends the request's generation; it is idempotent. Once it has returned nil or ErrGone, the engine does not run the
+// request, nor a start of it that arrives later.
 func (c *Client) Cancel(ctx context.Context, addr netip.AddrPort, id string) error {
 	return call(ctx, c.unpooled, http.MethodDelete, requestURL(addr, pathGenerations+"/"+url.PathEscape(id), nil), nil, nil)
 }
@@ -188,10 +192,14 @@
 	return nil, statusError(resp.StatusCode)
 }
 
-// classify marks an error as ErrUnreachable if no connection was made, else as ErrBroken.
+// classify marks an error as ErrUnreachable if no connection was made, also as ErrNotListening if it was refused, and else
+// as ErrBroken.
 func classify(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			err = errors.Mark(err, ErrNotListening)
+		}
 		return errors.Mark(err, ErrUnreachable)
 	}
 	return errors.Mark(err, ErrBroken)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -71,16 +71,17 @@
 	Meter   Meter
 	// MaxBodiesBytes bounds the bytes of all large request bodies that the host holds; 0 means no bound.
 	MaxBodiesBytes int64
-	Log            *slog.Logger
+	// MaxAnswersBytes bounds the bytes of all answers that the host holds, except the first of each; 0 means maxAnswersBytes.
+	MaxAnswersBytes int64
+	Log             *slog.Logger
 
 	keyAge atomic.Int64
 	// stop is set while the host is stopping.
-	stop   atomic.Pointer[stop]
-	aborts aborts
-	bodies memory
-	// buffered is the number of bytes of answers that are being read.
-	buffered atomic.Int64
-	active   active
+	stop    atomic.Pointer[stop]
+	aborts  aborts
+	bodies  memory
+	answers memory
+	active  active
 }
 
 // request is one request in progress.
@@ -97,6 +98,8 @@
 	hasBody bool
 	// bodyBytes is what the body takes of the memory for bodies.
 	bodyBytes int64
+	// account is what its answers take of the memory for answers.
+	account   *account
 	route     *policy.Route
 	service   *policy.Service
 	workspace *policy.Workspace
@@ -129,8 +132,9 @@
 	q := &request{
 		Front: f, Call: call, w: w, arrived: time.Now(),
 		method: r.Method, target: r.RequestURI, host: r.Host,
-		log: f.Log.With("request", call.ID),
+		account: f.answerAccount(), log: f.Log.With("request", call.ID),
 	}
+	defer q.account.close()
 	ctx, release := q.abortable(r.Context())
 	defer release()
 	defer func() { q.bodies.release(q.bodyBytes) }()
@@ -259,6 +263,7 @@
 func (q *request) backendRequest(s ForwardMetadata) *send.Request {
 	return &send.Request{
 		Method: q.method, Target: q.target, Host: q.host, Header: q.HeaderCodec.Encode(q.Call, s), Body: q.body, HasBody: q.hasBody,
+		Memory: q.account,
 	}
 }
 
