--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -59,9 +59,10 @@
 			return func() {}
 		}},
 		{"backend server crashed", func(s *Soak, r *rand.Rand) func() {
-			e := s.town.Servers[r.IntN(len(s.town.Servers))]
-			e.Crash()
-			return e.Restart
+			i := r.IntN(len(s.town.Servers))
+			s.serverProxies[i].stopListening()
+			s.town.Servers[i].Crash()
+			return func() { s.restartServer(i) }
 		}},
 		{"backend server draining", func(s *Soak, r *rand.Rand) func() {
 			e := s.town.Servers[r.IntN(len(s.town.Servers))]
@@ -111,6 +112,14 @@
 	}
 }
 
+// restartServer starts a crashed backend server again and opens its port; it does nothing if the server runs.
+func (s *Soak) restartServer(i int) {
+	s.town.Servers[i].Restart()
+	if err := s.serverProxies[i].listen(context.Background()); err != nil {
+		fmt.Fprintln(s.Out, "restart backend server:", err)
+	}
+}
+
 // injectFaults injects faults drawn from a stream of the seed for Duration and returns when each is undone.
 func (s *Soak) injectFaults(ctx context.Context, stream uint64, all []fault) {
 	r := rand.New(rand.NewPCG(s.Seed, stream))
@@ -153,8 +162,8 @@
 		h.signal(syscall.SIGCONT)
 		s.restart(h)
 	}
-	for _, e := range s.town.Servers {
-		e.Restart()
+	for i, e := range s.town.Servers {
+		s.restartServer(i)
 		s.town.Register(e, false)
 	}
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -78,17 +78,23 @@
 func (p *proxy) stopListening() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.listener.Close()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
 }
 
-// listen opens the port again.
+// listen opens the port again unless it is open.
 func (p *proxy) listen(ctx context.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
 	l, err := httpd.Listen(ctx, p.address.String())
 	if err != nil {
 		return errors.Wrap(err, "open the proxy's port again")
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.listener = l
 	p.goroutines.Add(1)
 	go p.accept(l)
