--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -44,7 +44,20 @@
 	listener   net.Listener
 	mode       mode
 	conns      map[net.Conn]bool
+	links      map[*link]bool
 	goroutines sync.WaitGroup
+	// endCut ends the span of the current mode in cuts; nil while the mode lets everything through.
+	endCut func()
+
+	// Owners tells which host sends a request; nil if paths of single hosts are not disturbed.
+	Owners *owners
+	// cuts records when the path of a host was cut or silent.
+	cuts disturbances
+	// silences counts, by path, the faults that keep it silent; changed is closed and replaced at each change.
+	silences map[silence]int
+	changed  chan struct{}
+	// resumedAt holds when a request that resumes a run was sent, by its ID.
+	resumedAt map[string]time.Time
 }
 
 func newProxy(ctx context.Context, target netip.AddrPort) (*proxy, error) {
@@ -52,7 +65,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "start proxy")
 	}
-	p := &proxy{target: target, address: netip.MustParseAddrPort(l.Addr().String()), listener: l, conns: make(map[net.Conn]bool)}
+	p := &proxy{
+		target: target, address: netip.MustParseAddrPort(l.Addr().String()), listener: l, conns: make(map[net.Conn]bool), links: make(map[*link]bool),
+		silences: make(map[silence]int), changed: make(chan struct{}), resumedAt: make(map[string]time.Time),
+	}
 	p.goroutines.Add(1)
 	go p.accept(l)
 	return p, nil
@@ -62,17 +78,23 @@
 func (p *proxy) stopListening() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.listener.Close()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
 }
 
-// listen opens the port again.
+// listen opens the port again unless it is open.
 func (p *proxy) listen(ctx context.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
 	l, err := httpd.Listen(ctx, p.address.String())
 	if err != nil {
 		return errors.Wrap(err, "open the proxy's port again")
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.listener = l
 	p.goroutines.Add(1)
 	go p.accept(l)
@@ -83,6 +105,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	if p.endCut != nil {
+		p.endCut()
+		p.endCut = nil
+	}
+	if m == dropResponses || m == blackhole {
+		p.endCut = p.cuts.begin(allHosts)
+	}
 }
 
 func (p *proxy) currentMode() mode {
@@ -135,21 +164,56 @@
 	}
 	p.track(server)
 	defer p.closeAndUntrack(server)
+	l := &link{near: conn, host: unknownHost}
+	p.trackLink(l)
+	defer p.untrackLink(l)
 	ended := make(chan struct{}, 2)
-	go func() { p.copy(server, conn, false); ended <- struct{}{} }()
-	go func() { p.copy(conn, server, true); ended <- struct{}{} }()
+	go func() { p.copyRequests(server, conn, l); ended <- struct{}{} }()
+	go func() { p.copyResponses(conn, server, l); ended <- struct{}{} }()
 	<-ended
-	_, _ = conn.Close(), server.Close()
 	<-ended
 }
 
-// copy copies data from one connection to the other as the mode says. Once data was dropped, the connection delivers
-// nothing more in that direction, because TCP never delivers what follows a gap.
-func (p *proxy) copy(to, from net.Conn, isResponse bool) {
+// copyRequests copies what the host sends. The end of that leaves the other direction open, as the host may have closed only its own.
+func (p *proxy) copyRequests(server, conn net.Conn, l *link) {
+	isWhole, err := p.copy(server, conn, l, false)
+	if p.isDetached(l) {
+		return
+	}
+	far, isTCP := server.(*net.TCPConn)
+	if !isTCP || !errors.Is(err, io.EOF) {
+		_, _ = conn.Close(), server.Close()
+		return
+	}
+	if isWhole {
+		_ = far.CloseWrite()
+	}
+}
+
+// copyResponses copies what the server sends. The server notices that the host has gone only through a path that is not silent.
+func (p *proxy) copyResponses(conn, server net.Conn, l *link) {
+	_, err := p.copy(conn, server, l, true)
+	if p.isDetached(l) {
+		_, _ = io.Copy(io.Discard, server)
+		return
+	}
+	if !errors.Is(err, io.EOF) {
+		p.awaitPath(l, false)
+	}
+	_, _ = conn.Close(), server.Close()
+}
+
+// copy copies data from one connection to the other as the mode says and returns the error that ended it. Once data was dropped, the
+// connection delivers nothing more in that direction, because TCP never delivers what follows a gap; isWhole says that nothing was.
+func (p *proxy) copy(to, from net.Conn, l *link, isResponse bool) (isWhole bool, err error) {
 	buf := make([]byte, bufferBytes)
 	hasDropped := false
 	for {
 		n, err := from.Read(buf)
+		if !isResponse {
+			p.identify(l, string(buf[:n]))
+		}
+		p.awaitPath(l, isResponse)
 		m := p.currentMode()
 		if m == delaying {
 			time.Sleep(delay)
@@ -157,11 +221,11 @@
 		hasDropped = hasDropped || n > 0 && (m == blackhole || m == dropResponses && isResponse)
 		if !hasDropped {
 			if _, err := to.Write(buf[:n]); err != nil {
-				return
+				return true, err
 			}
 		}
 		if err != nil {
-			return
+			return !hasDropped, err
 		}
 	}
 }
