fix(grant): the limit of a cold backend server includes the output since its last report

Cause: the warm-up limit grows with the output that load reports show, and a report was taken to be as old as its arrival. The output between the making of a report and its arrival (400 ms in the scenario) never counted until the next report, and the limit grows exponentially.

The owner knows without clocks how old a report is at least: one that shows fewer requests than it has running was made before the first start that it lacks reached the backend server. The ramp extrapolates from that time, for at most 600 ms.

TestLimitIncludesOutputSinceReportWasMade failed before in the rows beyond 300 ms: 6 instead of 10.

--- a/internal/bench/cold_test.go
+++ b/internal/bench/cold_test.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"context"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -43,3 +44,29 @@
 	assert.NilError(t, err)
 	assert.Assert(t, baseline.lateStarts > 0)
 }
+
+// TestFullThroughputInTime compares the time to full throughput with that of an ideal policy, which sees the engines'
+// capacity without lag; the shorter their warm-up, the more the lag of reports counts.
+func TestFullThroughputInTime(t *testing.T) {
+	const maxRatio, minCompleted = 1.5, 0.99
+	tests := []struct {
+		name     string
+		scenario Scenario
+		seed     uint64
+	}{
+		{"cold", coldScenario{"cold", 8, 4, coldStartOnly, coldWindow}, 3},
+		{"domain, fast warm-up", domainScenario{}, 3},
+		{"domain, medium warm-up", domainScenario{}, 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			own, err := tt.scenario.Run(context.Background(), PolicyOwn, tt.seed)
+			assert.NilError(t, err)
+			assert.Assert(t, own.Extra["full_throughput_ratio"] <= maxRatio, "%v", own.Extra["full_throughput_ratio"])
+			assert.Equal(t, *own.OverloadStarts, 0)
+			if part, ok := own.Extra["completed_of_remaining"]; ok {
+				assert.Assert(t, part >= minCompleted, "%v", part)
+			}
+		})
+	}
+}
--- a/internal/grant/backend.go
+++ b/internal/grant/backend.go
@@ -1,11 +1,16 @@
 package grant
 
 import (
+	"slices"
 	"time"
 
+	"github.com/tarragonspur/tarragonspur/internal/engine"
 	"github.com/tarragonspur/tarragonspur/internal/warm"
 )
 
+// maxDeliveryTime is the time within which a granted start reaches its backend server.
+const maxDeliveryTime = 50 * time.Millisecond
+
 // backend counts the starts on one backend server.
 type backend struct {
 	Backend
@@ -100,6 +105,25 @@
 	b.takenByPart[partOf(b.partOffset, s.unit)]--
 }
 
+// latestReportTime returns the latest time at which a load report that arrives now can have been made. One that shows fewer
+// requests than this ledger has running was made before the first start that it lacks reached the backend server. The
+// clocks of backend servers don't count, since a wrong one would make fresh reports look old.
+func (b *backend) latestReportTime(l engine.Load, now time.Time) time.Time {
+	shown := l.Running + l.Waiting
+	if shown >= len(b.running) {
+		return now
+	}
+	starts := make([]time.Time, 0, len(b.running))
+	for _, s := range b.running {
+		starts = append(starts, s.at)
+	}
+	slices.SortFunc(starts, time.Time.Compare)
+	if madeBy := starts[shown].Add(maxDeliveryTime); madeBy.Before(now) {
+		return madeBy
+	}
+	return now
+}
+
 // unknownFormerRunning is the formerRunning of a backend server if no load report or former owner's report bounds it.
 const unknownFormerRunning = 1 << 20
 
--- a/internal/grant/ledger.go
+++ b/internal/grant/ledger.go
@@ -329,7 +329,7 @@
 	if b == nil {
 		return
 	}
-	b.ramp.Report(load, now)
+	b.ramp.Report(load, b.latestReportTime(load, now))
 	b.lastReport = now
 	b.pendingReports = append(b.pendingReports, loadReport{at: now, running: load.Running + load.Waiting})
 	l.updateBounds(b, now)
--- a/internal/warm/warm.go
+++ b/internal/warm/warm.go
@@ -30,8 +30,8 @@
 	maxProbePause = 8 * time.Second
 	// healthyReports is the number of good reports after a failure that restore the limit from before it.
 	healthyReports = 3
-	// maxExtrapolation is the time after a report up to which its output rate is extrapolated.
-	maxExtrapolation = 300 * time.Millisecond
+	// maxExtrapolation is the age of a report up to which its output rate is extrapolated.
+	maxExtrapolation = 600 * time.Millisecond
 	// maxReportGap bounds the time between two reports for which the output is estimated.
 	maxReportGap = 2 * time.Second
 )
@@ -49,8 +49,9 @@
 	boot                 string
 	lastReport           engine.Load
 	reported             bool
-	// reportedAt is the time at which the last report arrived; growing is true if that report could raise the limit.
-	reportedAt   time.Time
+	// reportMadeBy is the latest time at which the last report can have been made; growing is true if that report could
+	// raise the limit.
+	reportMadeBy time.Time
 	growing      bool
 	bestGap      time.Duration
 	failures     int
@@ -76,7 +77,7 @@
 	if !r.growing || r.lastReport.TokenGap <= 0 {
 		return 0
 	}
-	span := max(0, min(maxExtrapolation, now.Sub(r.reportedAt)))
+	span := max(0, min(maxExtrapolation, now.Sub(r.reportMadeBy)))
 	return float64(r.lastReport.Running) * float64(span) / float64(r.lastReport.TokenGap) / r.tokensPerStart()
 }
 
@@ -99,14 +100,15 @@
 	return min(maxProbePause, minProbePause<<min(r.failures-1, 8))
 }
 
-// Report updates the limit with a load report that arrives now; one that isn't newer than the last is ignored.
-func (r *Ramp) Report(l engine.Load, now time.Time) {
+// Report updates the limit with a load report that was made at madeBy or earlier, by the host's clock; one that isn't newer
+// than the last is ignored.
+func (r *Ramp) Report(l engine.Load, madeBy time.Time) {
 	previous, first := r.lastReport, !r.reported
 	if !first && !l.At.After(previous.At) {
 		return
 	}
 	r.lastReport = l
-	r.reportedAt = now
+	r.reportMadeBy = madeBy
 	r.reported = true
 	r.growing = false
 	switch {
--- a/internal/warm/warm_test.go
+++ b/internal/warm/warm_test.go
@@ -55,6 +55,29 @@
 	assert.Assert(t, last > 8)
 }
 
+// TestLimitIncludesOutputSinceReportWasMade gives a ramp a report of 20 sequences, each of which produces a token in 20 ms.
+func TestLimitIncludesOutputSinceReportWasMade(t *testing.T) {
+	tests := []struct {
+		name string
+		age  time.Duration
+		want int
+	}{
+		{"just made", 0, 2},
+		{"300 tokens later", 300 * time.Millisecond, 6},
+		{"600 tokens later", 600 * time.Millisecond, 10},
+		{"too old to extrapolate further", time.Hour, 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ramp, madeBy := &warm.Ramp{ColdLimit: 2, WarmLimit: 64}, time.Unix(1000, 0)
+			for i := range 2 {
+				ramp.Report(engine.Load{Boot: "a", At: madeBy.Add(time.Duration(i)), Running: 20, TokenGap: gap}, madeBy)
+			}
+			assert.Equal(t, ramp.Limit(madeBy.Add(tt.age)), tt.want)
+		})
+	}
+}
+
 func TestLimitFallsBack(t *testing.T) {
 	tests := []struct {
 		name  string
