--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -141,17 +141,9 @@
 // TestClosedPortIsNoProofWhileEventsCome guards against a second run beside one whose server only accepts no more connections.
 func TestClosedPortIsNoProofWhileEventsCome(t *testing.T) {
 	r, paths := newPathRig(t)
-	var both atomic.Bool
+	both := r.recordOverlaps()
 	for _, e := range r.engines {
 		e.IgnoresEnds = true
-		e.Script = func(_ net.Conn, q *plat.Request) bool {
-			for _, other := range r.engines {
-				if other != e && q.Method == http.MethodPost && q.Attempt() == attempt && other.IsAtWork(attempt) {
-					both.Store(true)
-				}
-			}
-			return false
-		}
 	}
 	done := make(chan reply, 1)
 	go func() { done <- r.do(t, streamRequest("/report/x")) }()
@@ -241,23 +233,11 @@
 // TestRunAtAServerThatTakesNoRequestsStaysThere guards against a second run beside one whose server was not asked.
 func TestRunAtAServerThatTakesNoRequestsStaysThere(t *testing.T) {
 	r, paths := newPathRig(t)
-	var both atomic.Bool
+	both := r.recordOverlaps()
 	for _, e := range r.engines {
 		e.IgnoresEnds, e.Events = true, 130
-		e.Script = func(_ net.Conn, q *plat.Request) bool {
-			for _, other := range r.engines {
-				if other != e && q.Method == http.MethodPost && q.Attempt() == attempt && other.IsAtWork(attempt) {
-					both.Store(true)
-				}
-			}
-			return false
-		}
 	}
-	next := table()
-	next.Version, next.Match("h.example", "/report/x").Timeout = 2, 6*time.Second
-	r.Tables.PutIfNewer(next)
-	ask := streamRequest("/report/x")
-	ask.headers["Deadline-Ms"] = "6000"
+	ask := r.longRequest("/report/x", 6*time.Second)
 	r.Pool.Notices = r.notices
 	answers := make(chan reply, 1)
 	go func() { answers <- r.do(t, ask) }()
@@ -328,11 +308,7 @@
 			return isMove
 		}
 	}
-	next := table()
-	next.Version, next.Match("h.example", "/report/x").Timeout = 2, 6*time.Second
-	r.Tables.PutIfNewer(next)
-	ask := streamRequest("/report/x")
-	ask.headers["Deadline-Ms"] = "6000"
+	ask := r.longRequest("/report/x", 6*time.Second)
 	done := make(chan reply, 1)
 	go func() { done <- r.do(t, ask) }()
 	source := r.runningEngine(t)
@@ -376,11 +352,7 @@
 			return isOwn
 		}
 	}
-	next := table()
-	next.Version, next.Match("h.example", "/note/x").Timeout = 2, 8*time.Second
-	r.Tables.PutIfNewer(next)
-	ask := streamRequest("/note/x")
-	ask.headers["Deadline-Ms"] = "8000"
+	ask := r.longRequest("/note/x", 8*time.Second)
 	r.disableStandbyCopies()
 	answers := make(chan reply, 1)
 	go func() { answers <- r.do(t, ask) }()
--- a/internal/front/order_test.go
+++ b/internal/front/order_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -106,6 +107,32 @@
 	return r, paths
 }
 
+// recordOverlaps makes the engines record whether one receives the rig's request while another one works on it.
+func (r *rig) recordOverlaps() *atomic.Bool {
+	var both atomic.Bool
+	for _, e := range r.engines {
+		e.Script = func(_ net.Conn, q *plat.Request) bool {
+			for _, other := range r.engines {
+				if other != e && q.Method == http.MethodPost && q.Attempt() == attempt && other.IsAtWork(attempt) {
+					both.Store(true)
+				}
+			}
+			return false
+		}
+	}
+	return &both
+}
+
+// longRequest returns a request whose stream may last for a time, also by its route.
+func (r *rig) longRequest(path string, limit time.Duration) callerRequest {
+	next := table()
+	next.Version, next.Match("h.example", path).Timeout = 2, limit
+	r.Tables.PutIfNewer(next)
+	ask := streamRequest(path)
+	ask.headers["Deadline-Ms"] = strconv.FormatInt(limit.Milliseconds(), 10)
+	return ask
+}
+
 // TestRunHasEndedBeforeItGoesOnElsewhere guards against two backend servers at work on one run: whatever makes a stream leave its
 // backend server, that has ended the run by the time at which another one receives it.
 func TestRunHasEndedBeforeItGoesOnElsewhere(t *testing.T) {
@@ -122,17 +149,9 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r, paths := newPathRig(t)
-			var both atomic.Bool
+			both := r.recordOverlaps()
 			for _, e := range r.engines {
 				e.IgnoresEnds = tc.ignoresEnds
-				e.Script = func(_ net.Conn, q *plat.Request) bool {
-					for _, other := range r.engines {
-						if other != e && q.Method == http.MethodPost && q.Attempt() == attempt && other.IsAtWork(attempt) {
-							both.Store(true)
-						}
-					}
-					return false
-				}
 			}
 			answers := make(chan reply, 1)
 			go func() { answers <- r.do(t, streamRequest(tc.path)) }()
@@ -156,11 +175,7 @@
 		e.IgnoresEnds, e.Events = true, 130
 	}
 	answers := make(chan reply, 1)
-	ask := streamRequest("/report/x")
-	ask.headers["Deadline-Ms"] = "6000"
-	next := table()
-	next.Version, next.Match("h.example", "/report/x").Timeout = 2, 6*time.Second
-	r.Tables.PutIfNewer(next)
+	ask := r.longRequest("/report/x", 6*time.Second)
 	go func() { answers <- r.do(t, ask) }()
 	source := r.runningEngine(t)
 	time.Sleep(200 * time.Millisecond)
@@ -237,11 +252,7 @@
 	for _, e := range r.engines {
 		e.IgnoresEnds, e.Events = true, 130
 	}
-	next := table()
-	next.Version, next.Match("h.example", "/report/x").Timeout = 2, 6*time.Second
-	r.Tables.PutIfNewer(next)
-	ask := streamRequest("/report/x")
-	ask.headers["Deadline-Ms"] = "6000"
+	ask := r.longRequest("/report/x", 6*time.Second)
 	answers := make(chan reply, 1)
 	go func() { answers <- r.do(t, ask) }()
 	source := r.runningEngine(t)
