--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -17,8 +17,8 @@
 	// unreachedInterval is the minimum time between two calls that end a run where the backend server is not reached, refusedInterval
 	// where it refuses, and backgroundInterval where it refuses in the background.
 	unreachedInterval  = 200 * time.Millisecond
-	backgroundInterval = time.Second
 	refusedInterval    = 50 * time.Millisecond
+	backgroundInterval = time.Second
 	// moveTimeout bounds one such call. Copying the memory of a run takes up to a second.
 	moveTimeout = 1200 * time.Millisecond
 	// maxEndWait bounds how long a stream waits for the end of its run. Callers leave after a gap of 2 s.
@@ -63,8 +63,8 @@
 	at   string
 }
 
-// endRun asks a backend server once to end the run and to copy it to another one. If it takes no more requests now, a connection attempt
-// tells whether it is there.
+// endRun asks a backend server once to end the run and to copy it to another one. One that takes no more requests now gets a connection
+// attempt instead, which shows whether it is there.
 func (q *request) endRun(ctx context.Context, server, to pool.Server) moved {
 	if q.Pool.WaitToResume(server.ID) > 0 {
 		return moved{ending: connectionEnding(ctx, server)}
--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -279,7 +279,7 @@
 		time.Sleep(650 * time.Millisecond)
 		i := r.index(source)
 		r.putAt(i, paths[i].address(), true)
-		time.Sleep(150 * time.Millisecond) // told to end, ignores it
+		time.Sleep(150 * time.Millisecond) // the source ignores the end of the request
 		paths[i].isCut.Store(true)
 		paths[i].breakConnections()
 		time.Sleep(300 * time.Millisecond)
@@ -340,7 +340,7 @@
 		e.IgnoresEnds, e.Events = true, 250
 		own := e.Public.String()
 		e.Script = func(conn net.Conn, q *plat.Request) bool {
-			// The bench: a call with the engine itself as the target is refused, and the run goes on.
+			// A call with the engine itself as the target is refused and does not stop the run.
 			isOwn := q.URL.Path == movePath && strings.Contains(q.Text, `"target":"`+own+`"`)
 			if isOwn {
 				status := http.StatusServiceUnavailable
--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -12,12 +12,13 @@
 )
 
 const (
-	// endTimeout is how long a migrated run may take to end after its backend server has been told so over its connection. Between
+	// endTimeout bounds the time between the end of the host's side of a connection and the end of the backend server's. Between
 	// regions it takes 40 ms, and a lost packet takes another 200 ms.
 	endTimeout = 250 * time.Millisecond
 	// maxHandoverTime bounds the time from the choice of the copy's backend server, which may leave meanwhile, to the end of the run.
 	maxHandoverTime = time.Second
-	// standbyTime is how long a run must have gone on until its standby copy counts on being there: the run ends before its copy is used.
+	// standbyTime is the age of a run from which its standby copy is assumed to be complete: the run ends before the copy is used, so that
+	// a refusal would cut the stream.
 	standbyTime = 600 * time.Millisecond
 	// prefillWait bounds how long after a shutdown notice a migration waits until its target has finished pending prefills:
 	// these double the time between events. The shortest notices leave 1.5 s.
@@ -32,8 +33,8 @@
 	conn *send.Conn
 	// isEndDue fires when the source should have ended.
 	isEndDue *time.Timer
-	// toldAt is when the source was told to end.
-	toldAt time.Time
+	// endRequestedAt is when the host ended its side of the connection to the source.
+	endRequestedAt time.Time
 	// isAbsent is set once the source has answered that it has no such run.
 	isAbsent bool
 }
@@ -126,7 +127,7 @@
 		return
 	}
 	if err := s.current.answer.EndRequest(); err != nil {
-		s.log.Info("run not told to end over its connection", "server", s.current.lease.Server.ID, "error", err)
+		s.log.Info("request not ended over its connection", "server", s.current.lease.Server.ID, "error", err)
 		h.isEndDue.Reset(0)
 	}
 }
@@ -136,7 +137,7 @@
 	s.isConnecting = false
 	if c.err == nil {
 		s.handover = c.handover
-		s.handover.toldAt = time.Now()
+		s.handover.endRequestedAt = time.Now()
 		return true
 	}
 	if c.handover != nil {
@@ -178,7 +179,7 @@
 	return <-s.endResults
 }
 
-// handleEnded goes on elsewhere if the backend server has ended the run.
+// handleEnded replaces the current upstream if its backend server has ended the run.
 func (s *session) handleEnded(m moved) error {
 	s.cancelEnding()
 	s.cancelEnding = nil
@@ -202,7 +203,7 @@
 		return nil
 	}
 	s.current.isEnded = true
-	return s.goOnElsewhere(errors.Newf("the run was ended: %s", m.ending))
+	return s.replaceCurrent(errors.Newf("the run was ended: %s", m.ending))
 }
 
 // useInstead replaces a copy by the one that was made as the run ended, if that is at the same backend server.
@@ -228,8 +229,8 @@
 	}
 }
 
-// hasEndedAsTold reports whether an error of the current upstream shows that its backend server has ended the run as it was told.
-func (s *session) hasEndedAsTold(err error) bool {
+// hasEndedOnRequest reports whether an error of the current upstream shows that its backend server has ended the run on request.
+func (s *session) hasEndedOnRequest(err error) bool {
 	return s.handover != nil && !s.current.isUnframed && errors.Is(err, io.ErrUnexpectedEOF)
 }
 
--- a/internal/front/overlap_test.go
+++ b/internal/front/overlap_test.go
@@ -75,7 +75,7 @@
 	assert.Equal(t, caller.Body.String(), fullStream(60))
 }
 
-// TestSourceThatEndsByItselfIsNotStopped migrates a stream whose source makes its last events after it has been told to end.
+// TestSourceThatEndsByItselfIsNotStopped migrates a stream whose source makes its last events after the host has ended its side of the connection.
 func TestSourceThatEndsByItselfIsNotStopped(t *testing.T) {
 	r := newRig(t, 4)
 	rec := r.recordLog()
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -20,19 +20,19 @@
 	if s.ctx.Err() != nil {
 		return s.cutError(context.Cause(s.ctx))
 	}
-	if s.hasEndedAsTold(cause) {
+	if s.hasEndedOnRequest(cause) {
 		broken.isEnded = true
-		s.log.Info("run has ended", "server", broken.lease.Server.ID, "last_event", s.lastNumber, "took", time.Since(s.handover.toldAt))
-		return s.goOnElsewhere(cause)
+		s.log.Info("run has ended", "server", broken.lease.Server.ID, "last_event", s.lastNumber, "took", time.Since(s.handover.endRequestedAt))
+		return s.replaceCurrent(cause)
 	}
 	broken.lease.RecordConnectionFailure(time.Now())
 	s.checkForCrash(broken.lease.Server)
 	s.log.Info("stream broke", "server", broken.lease.Server.ID, "last_event", s.lastNumber, "silent_for", s.timing.sinceLast(time.Now()), "error", cause)
-	return s.goOnElsewhere(cause)
+	return s.replaceCurrent(cause)
 }
 
-// goOnElsewhere closes the current upstream and continues the stream on another one once the run has ended.
-func (s *session) goOnElsewhere(cause error) error {
+// replaceCurrent closes the current upstream and continues the stream on another one once its run has ended.
+func (s *session) replaceCurrent(cause error) error {
 	before := s.current
 	sb := before.standby
 	before.standby = nil
@@ -71,7 +71,7 @@
 		f, err := s.openFromCopy(s.ctx, h.claimedCopy, h.conn)
 		if err == nil {
 			s.Meter.Resumed("moved")
-			s.log.Info("stream moved", "to", h.lease.Server.ID, "last_event", s.lastNumber, "took", time.Since(h.toldAt))
+			s.log.Info("stream moved", "to", h.lease.Server.ID, "last_event", s.lastNumber, "took", time.Since(h.endRequestedAt))
 			return f, nil
 		}
 		s.Meter.Resumed("refused")
