--- a/internal/fakes/plat/server.go
+++ b/internal/fakes/plat/server.go
@@ -38,7 +38,7 @@
 // ResumesRun reports whether the request resumes a run from a copy of its KV cache.
 func (r *Request) ResumesRun() bool { return r.Header.Get("Kv-From") != "" }
 
-// GoesOn reports whether the request goes on with a stream, from a copy or without one.
+// GoesOn reports whether the request continues a stream, from a copy or without one.
 func (r *Request) GoesOn() bool { return r.ResumesRun() || r.Header.Get("Last-Event-Id") != "" }
 
 // HeadGoesOn reports the same of the head of a request as it was sent.
--- a/internal/relay/machine_test.go
+++ b/internal/relay/machine_test.go
@@ -231,7 +231,7 @@
 	tests := []struct {
 		name      string
 		delivered int
-		// ends says that each abandoned attempt is known to have ended at once.
+		// ends makes the end of each abandoned attempt known without delay.
 		ends bool
 	}{
 		{"before the first token", 0, false},
--- a/internal/soak/overlap.go
+++ b/internal/soak/overlap.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// maxOverlap is for how long a run may go on at one backend server once it goes on at another one.
+	// maxOverlap bounds the time in which two backend servers may work on one run.
 	maxOverlap = 400 * time.Millisecond
 	// harmTime is how long after a fault of a host or its links the guarantee does not hold.
 	harmTime = 5 * time.Second
--- a/internal/soak/paths.go
+++ b/internal/soak/paths.go
@@ -43,7 +43,7 @@
 	isDetached bool
 }
 
-// owners tells which host each request was sent to.
+// owners maps each request to the host that it was sent to.
 type owners struct {
 	mu    sync.Mutex
 	hosts map[string]int
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -49,7 +49,7 @@
 	// endCut ends the span of the current mode in cuts; nil while the mode lets everything through.
 	endCut func()
 
-	// Owners tells which host sends a request; nil if paths of single hosts are not disturbed.
+	// Owners maps requests to hosts; nil if paths of single hosts are not disturbed.
 	Owners *owners
 	// cuts records when the path of a host was cut or silent.
 	cuts disturbances
