feat(assist): other hosts end runs at backend servers that a host does not reach

What callers saw: a stream whose connection broke on a path that stayed silent waited 1.3 s for a proof that its run had ended, was left without one, and went on elsewhere while the source could be at work on it (two backend servers with one request). Streams with less time than that were cut.

Cause: only the host of the stream asked the backend server, over the one path that was silent.

Now another host that reaches it ends the run and copies its memory: the service Assist, next to Mirror, on the port for hosts. What it answers counts like the host's own call.

Evidence: two rows of TestRunHasEndedBeforeItGoesOnElsewhere ("only another host reaches its server") fail without endThroughOthers: "unexpected EOF".

--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -61,6 +61,8 @@
 	// copy is the copy that was made, at the backend server with the ID at; empty without one.
 	copy Copy
 	at   string
+	// isByOther is set if another host ended the run, because this one does not reach the backend server.
+	isByOther bool
 }
 
 // endRun asks a backend server once to end the run and to copy it to another one. One that takes no more requests now gets a connection
@@ -147,7 +149,7 @@
 	var made Copy
 	for i, server := range servers {
 		began := time.Now()
-		m := q.endWithin(ctx, maxEndWait, server, q.copyTarget(server, next))
+		m := q.endWithin(ctx, maxEndWait, server, q.copyTarget(server, next), q.Others != nil)
 		q.log.Info("end of the run awaited", "server", server.ID, "ending", m.ending.String(), "waited", time.Since(began))
 		switch {
 		case m.ending == endRefused:
@@ -165,14 +167,28 @@
 	return made, nil
 }
 
-// endWithin asks a backend server to end the run until it certainly has, or for a time. It returns the last answer.
-func (q *request) endWithin(ctx context.Context, limit time.Duration, server, to pool.Server) moved {
+// endThroughOthers asks other hosts to end the run at a backend server that this one does not reach.
+func (q *request) endThroughOthers(ctx context.Context, server, to pool.Server) moved {
+	began := time.Now()
+	made, err := q.Others.Move(ctx, server, q.ID, to)
+	m := moved{ending: endingOf(err), copy: made, at: to.ID, isByOther: true}
+	q.log.Info("other hosts asked to end run", "server", server.ID, "to", to.ID, "ending", m.ending.String(), "took", time.Since(began), "error", err)
+	return m
+}
+
+// endWithin asks a backend server to end the run until it certainly has, or for a time. It returns the last answer. If the backend server
+// isn't reached, other hosts are asked once if asksOthers is set.
+func (q *request) endWithin(ctx context.Context, limit time.Duration, server, to pool.Server, asksOthers bool) moved {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var last moved
 	for {
 		began := time.Now()
 		m := q.endRun(ctx, server, to)
+		if m.ending == endUnknown && asksOthers {
+			asksOthers = false
+			m = q.endThroughOthers(ctx, server, to)
+		}
 		if m.ending != endUnknown {
 			last = m
 		}
@@ -200,7 +216,7 @@
 	go func() {
 		defer q.active.Done()
 		for began := time.Now(); time.Since(began) < maxStopTime && q.stop.Load() == nil; {
-			m := q.endWithin(context.Background(), unreachedInterval+refusedInterval, server, to)
+			m := q.endWithin(context.Background(), unreachedInterval+refusedInterval, server, to, false)
 			if m.ending.isProof() {
 				q.freeUnused(m)
 				return
@@ -212,9 +228,9 @@
 	}()
 }
 
-// freeUnused deletes a copy that was made as a run ended and is not used.
+// freeUnused deletes a copy that was made as a run ended and is not used. One that this host can't delete expires.
 func (q *request) freeUnused(m moved) {
-	if m.copy.Name == "" {
+	if m.copy.Name == "" || m.isByOther {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -63,7 +63,9 @@
 	Store       Store
 	HeaderCodec HeaderCodec
 	Copies      Copies
-	Budget      Budget
+	// Others ends runs at backend servers that this host does not reach; may be nil.
+	Others Others
+	Budget Budget
 	// Queue holds requests until a model engine has room.
 	Queue   *queue.Queue
 	Guard   Guard
--- a/internal/front/order_test.go
+++ b/internal/front/order_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -16,7 +17,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+	"github.com/tarragonspur/tarragonspur/internal/front"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/platform"
 )
 
 // path is the network path between a host and a backend server.
@@ -107,6 +110,27 @@
 	return r, paths
 }
 
+// otherHost is a host that reaches all backend servers without a path.
+type otherHost struct{ rig *rig }
+
+// Move implements front.Others.
+func (o otherHost) Move(ctx context.Context, at pool.Server, run string, to pool.Server) (front.Copy, error) {
+	for _, e := range o.rig.engines {
+		if e.ID == at.ID {
+			made, err := platform.Engines{}.Move(ctx, e.Address(), run, to.Address)
+			made.Address = at.Address
+			return made, err
+		}
+	}
+	return front.Copy{}, front.ErrRefused
+}
+
+// cut breaks a path's connections and makes new ones fail.
+func (p *path) cut() {
+	p.isCut.Store(true)
+	p.breakConnections()
+}
+
 // recordOverlaps makes the engines record whether one receives the rig's request while another one works on it.
 func (r *rig) recordOverlaps() *atomic.Bool {
 	var both atomic.Bool
@@ -146,9 +170,12 @@
 		{"its server leaves and does not notice the end of the connection", "/report/x", true, func(r *rig, source *plat.Server, p *path) { r.putAt(r.index(source), p.address(), true) }},
 		{"its connection breaks at the host only", "/report/x", true, func(_ *rig, _ *plat.Server, p *path) { p.breakConnections() }},
 		{"its connection breaks at the host only, where any server may resume", "/note/x", true, func(_ *rig, _ *plat.Server, p *path) { p.breakConnections() }},
+		{"only another host reaches its server", "/report/x", true, func(_ *rig, _ *plat.Server, p *path) { p.cut() }},
+		{"only another host reaches its server, where any server may resume", "/note/x", true, func(_ *rig, _ *plat.Server, p *path) { p.cut() }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r, paths := newPathRig(t)
+			r.Others = otherHost{r}
 			both := r.recordOverlaps()
 			for _, e := range r.engines {
 				e.IgnoresEnds = tc.ignoresEnds
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -89,6 +89,12 @@
 	Free(ctx context.Context, at netip.AddrPort, name string) error
 }
 
+// Others ends runs through other hosts.
+type Others interface {
+	// Move is Move of Copies by a host that reaches the backend server.
+	Move(ctx context.Context, at pool.Server, run string, to pool.Server) (Copy, error)
+}
+
 // Errors of Copies.
 var (
 	// ErrNoRun says that a backend server does not work on a run.
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -182,3 +182,29 @@
 	assert.Assert(t, len(payload) <= maxDatagram, "%d bytes", len(payload))
 	t.Logf("%d bytes", len(payload))
 }
+
+func TestHostsNearAFailureDomain(t *testing.T) {
+	now := time.Now()
+	g := New()
+	g.peers = map[string]*peer{
+		"own region": {name: "own region", domain: "d1", region: "east", lastSeen: now},
+		"near":       {name: "near", domain: "d2", region: "west", lastSeen: now},
+		"region":     {name: "region", domain: "d3", region: "west", lastSeen: now},
+		"leaving":    {name: "leaving", domain: "d2", region: "west", lastSeen: now, leaving: true},
+		"silent":     {name: "silent", domain: "d2", region: "west", lastSeen: now.Add(-unresponsiveAfter)},
+	}
+	for _, tc := range []struct {
+		n    int
+		want []string
+	}{
+		{0, nil},
+		{2, []string{"near", "region"}},
+		{9, []string{"near", "region", "own region"}},
+	} {
+		var names []string
+		for _, host := range g.HostsNear("d2", "west", tc.n) {
+			names = append(names, host.Name)
+		}
+		assert.DeepEqual(t, names, tc.want)
+	}
+}
--- a/internal/gossip/reader.go
+++ b/internal/gossip/reader.go
@@ -1,6 +1,9 @@
 package gossip
 
 import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/tarragonspur/tarragonspur/internal/mirror"
@@ -79,3 +82,32 @@
 	}
 	return best
 }
+
+// HostsNear returns at most n live hosts in random order, but those of a failure domain first, then those of its region.
+func (g *Gossip) HostsNear(domain, region string, n int) []mirror.Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var live []*peer
+	for _, p := range g.peers {
+		if !p.leaving && time.Since(p.lastSeen) < unresponsiveAfter {
+			live = append(live, p)
+		}
+	}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	distance := func(p *peer) int {
+		switch {
+		case p.domain == domain:
+			return 0
+		case p.region == region:
+			return 1
+		default:
+			return 2
+		}
+	}
+	slices.SortStableFunc(live, func(a, b *peer) int { return cmp.Compare(distance(a), distance(b)) })
+	var hosts []mirror.Host
+	for _, p := range live[:min(n, len(live))] {
+		hosts = append(hosts, mirror.Host{Name: p.name, Address: p.address})
+	}
+	return hosts
+}
--- a/internal/mirror/link.go
+++ b/internal/mirror/link.go
@@ -146,6 +146,8 @@
 
 	Mirror  *Mirror
 	Address netip.AddrPort
+	// Register adds another service for hosts; may be nil.
+	Register func(grpc.ServiceRegistrar)
 }
 
 // Read returns documents that this host has read from the store.
@@ -189,6 +191,9 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAliveTime, Timeout: keepAliveTimeout}),
 	)
 	mirpb.RegisterMirrorServer(server, s)
+	if s.Register != nil {
+		s.Register(server)
+	}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
 	select {
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/dig"
 
+	"github.com/tarragonspur/tarragonspur/internal/assist"
 	"github.com/tarragonspur/tarragonspur/internal/budget"
 	"github.com/tarragonspur/tarragonspur/internal/crash"
 	"github.com/tarragonspur/tarragonspur/internal/front"
@@ -80,6 +81,8 @@
 	newGossip,
 	newBudget,
 	newQueue,
+	newEngines,
+	newAssist,
 	newFront,
 	metric.New,
 	metric.NewFront,
@@ -123,8 +126,16 @@
 	return m
 }
 
-func newMirrorServer(s config.Settings, m *mirror.Mirror) *mirror.Server {
-	return &mirror.Server{Mirror: m, Address: s.Peers}
+func newMirrorServer(s config.Settings, m *mirror.Mirror, a *assist.Server) *mirror.Server {
+	return &mirror.Server{Mirror: m, Address: s.Peers, Register: a.Register}
+}
+
+func newEngines(p *pool.Pool, n *notice.Table) platform.Engines {
+	return platform.Engines{Heard: heardAt(p, n)}
+}
+
+func newAssist(e platform.Engines, p *pool.Pool, log *slog.Logger) *assist.Server {
+	return &assist.Server{Mover: e, Servers: p, Log: log}
 }
 
 func newHolder() *policy.Holder { return &policy.Holder{} }
@@ -192,10 +203,10 @@
 
 func newQueue() *queue.Queue { return &queue.Queue{Now: time.Now} }
 
-func newFront(s config.Settings, h *policy.Holder, p *pool.Pool, b *budget.Shared, w *queue.Queue, t *crash.Table, n *notice.Table, g *gossip.Gossip, syncStatus *watch.SyncStatus, m *metric.Front, log *slog.Logger) *front.Front {
+func newFront(s config.Settings, e platform.Engines, h *policy.Holder, p *pool.Pool, b *budget.Shared, w *queue.Queue, t *crash.Table, n *notice.Table, g *gossip.Gossip, syncStatus *watch.SyncStatus, m *metric.Front, log *slog.Logger) *front.Front {
 	f := &front.Front{
 		RoutingState: front.RoutingState{Tables: h, Pool: p},
-		HeaderCodec:  platform.HeaderCodec{}, Copies: platform.Engines{Heard: heardAt(p, n)},
+		HeaderCodec:  platform.HeaderCodec{}, Copies: e, Others: &assist.Client{Hosts: g, Log: log},
 		Store: storeState{g, syncStatus}, Budget: b, Queue: w, Guard: t, Notices: n, Meter: m, Log: log,
 		MaxBodiesBytes:  int64(bodiesFraction * float64(s.Platform.MemoryMB) * megabyte),
 		MaxAnswersBytes: int64(answersFraction * float64(s.Platform.MemoryMB) * megabyte),
