fix(front): a stream on a silent path goes on elsewhere before its caller leaves

What callers saw: a stream whose path to its backend server went silent paused until the connection failed, 5 s later, while callers leave after a gap of 2 s; then its copy had often expired.

Cause: the host waited for its own connection to fail, because it could not end the run over the silent path, and a second run beside it is not allowed.

Now a stream without an event for 0.7 s opens a connection to its backend server. If that fails, the host looks for a server that it reaches, the one of the copy first, and asks another host to end the run and to copy it there. Only with the answer that the run has ended does the stream leave; without one it stays as before. A connection that can be opened, or is refused, changes nothing.

Evidence: TestSilentPathDoesNotPauseItsStream failed before (both rows: "timeout hit after 5s: the stream to go on elsewhere").

--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -63,6 +63,8 @@
 	at   string
 	// isByOther is set if another host ended the run, because this one does not reach the backend server.
 	isByOther bool
+	// claim is the claim at the copy's backend server if it was made for this copy.
+	claim *pool.Lease
 }
 
 // endRun asks a backend server once to end the run and to copy it to another one. One that takes no more requests now gets a connection
@@ -230,6 +232,9 @@
 
 // freeUnused deletes a copy that was made as a run ended and is not used. One that this host can't delete expires.
 func (q *request) freeUnused(m moved) {
+	if m.claim != nil {
+		m.claim.Release()
+	}
 	if m.copy.Name == "" || m.isByOther {
 		return
 	}
--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -56,6 +56,7 @@
 		s.migrate(server)
 		return
 	}
+	s.checkPath()
 	s.dropLeavingStandby()
 	if s.Store.IsUnreachable() || s.Pool.IsRemovalPending(server) {
 		s.keepPrecautionaryCopy()
@@ -169,7 +170,7 @@
 	go func() { s.endResults <- s.endRun(ctx, source, to) }()
 }
 
-// stopAsking cancels the call of askToEnd, if one is in progress, and returns its result.
+// stopAsking cancels the call that ends the run, if one is in progress, and returns its result.
 func (s *session) stopAsking() moved {
 	if s.cancelEnding == nil {
 		return moved{}
@@ -179,11 +180,14 @@
 	return <-s.endResults
 }
 
-// handleEnded replaces the current upstream if its backend server has ended the run.
+// handleEnded replaces the current upstream if its run has ended.
 func (s *session) handleEnded(m moved) error {
 	s.cancelEnding()
 	s.cancelEnding = nil
 	h := s.handover
+	if h == nil {
+		return s.handleNotReached(m)
+	}
 	switch {
 	case m.ending == endMoved:
 		s.useInstead(h.standby, m)
@@ -208,7 +212,7 @@
 
 // useInstead replaces a copy by the one that was made as the run ended, if that is at the same backend server.
 func (s *session) useInstead(sb *standby, m moved) {
-	if m.at != sb.claim.Server.ID {
+	if m.at != sb.claim.Server.ID || m.claim != nil {
 		s.freeUnused(m)
 		return
 	}
--- a/internal/front/order_test.go
+++ b/internal/front/order_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,6 +29,8 @@
 	to       netip.AddrPort
 	// isCut makes new connections fail.
 	isCut atomic.Bool
+	// isSilent keeps everything that is sent over the path.
+	isSilent atomic.Bool
 
 	mu    sync.Mutex
 	conns []*net.TCPConn
@@ -57,6 +60,9 @@
 			continue
 		}
 		far, err := net.DialTCP("tcp", nil, net.TCPAddrFromAddrPort(p.to))
+		if p.isSilent.Load() {
+			return
+		}
 		if err != nil || p.isCut.Load() {
 			reset.apply(near)
 			continue
@@ -75,6 +81,9 @@
 	buf := make([]byte, 4<<10)
 	for {
 		n, err := from.Read(buf)
+		if p.isSilent.Load() {
+			return
+		}
 		_, _ = to.Write(buf[:n])
 		if errors.Is(err, io.EOF) {
 			_ = to.CloseWrite()
@@ -95,6 +104,26 @@
 	p.conns = nil
 }
 
+// silence drops what is sent over the path, and what would open new connections: the listener's queue is full from then on.
+func (p *path) silence(t *testing.T) {
+	t.Helper()
+	p.isSilent.Store(true)
+	l, ok := p.listener.(*net.TCPListener)
+	assert.Assert(t, ok)
+	raw, err := l.SyscallConn()
+	assert.NilError(t, err)
+	assert.NilError(t, raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }))
+	assert.NilError(t, err)
+	dialer := net.Dialer{Timeout: 50 * time.Millisecond}
+	for err == nil {
+		var conn net.Conn
+		conn, err = dialer.DialContext(t.Context(), "tcp", p.address().String())
+		if err == nil {
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	}
+}
+
 // newPathRig starts a rig whose backend servers are reached over paths.
 func newPathRig(t *testing.T) (*rig, []*path) {
 	t.Helper()
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -38,8 +38,12 @@
 	before.standby = nil
 	s.current = nil
 	s.request.close(before)
-	if m := s.stopAsking(); m.ending == endMoved && s.handover != nil {
+	m := s.stopAsking()
+	before.isEnded = before.isEnded || m.ending.isProof()
+	if s.handover != nil && m.ending == endMoved {
 		s.useInstead(s.handover.standby, m)
+	} else {
+		sb = s.takeOver(sb, m)
 	}
 	if !before.isEnded {
 		s.addUnended(before.lease.Server)
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -40,6 +40,8 @@
 	// endResults carries the result of the goroutine that runs while cancelEnding is set.
 	endResults   chan moved
 	cancelEnding context.CancelFunc
+	// pathCheckedAt is when the path to the backend server was last checked.
+	pathCheckedAt time.Time
 	// leavingSince is when a migration of the run became due; zero while none waits.
 	leavingSince time.Time
 	// nextCopyAt is the earliest time of the next copy on demand after a failed one.
