--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -42,6 +42,7 @@
 		o := outcome{path: path, id: id, host: host.index, isDeadly: isDeadly, sentAt: time.Now()}
 		c.soak.owners.add(id, host.index)
 		c.send(ctx, client, host, header, &o)
+		o.took = time.Since(o.sentAt)
 		c.soak.recorder.record(o)
 		select {
 		case <-time.After(time.Duration(c.rand.ExpFloat64() * float64(meanRequestInterval))):
@@ -75,7 +76,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	o.status, o.body, o.err = resp.StatusCode, string(body), err
-	o.signed = plat.IsSigned(resp.Header)
+	o.signed, o.retryAfter = plat.IsSigned(resp.Header), resp.Header.Get("Retry-After")
 }
 
 // expectedBody returns the body of the correct response to a request.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -128,12 +128,14 @@
 	active := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := all[r.IntN(len(all))]
+		s.journal.add("fault %q of stream %d begins", f.name, stream)
 		undo := f.inject(s, r)
 		duration := time.Duration(r.Int64N(int64(maxFaultDuration)))
 		active++
 		go func() {
 			time.Sleep(duration)
 			undo()
+			s.journal.add("fault %q of stream %d is undone after %s", f.name, stream, duration)
 			done <- struct{}{}
 		}()
 		pause := time.NewTimer(time.Duration(r.ExpFloat64() * float64(meanFaultInterval)))
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -26,7 +26,10 @@
 	status   int
 	body     string
 	signed   bool
-	err      error
+	// retryAfter is the header of that name, took the time until the response's end.
+	retryAfter string
+	took       time.Duration
+	err        error
 }
 
 func (o outcome) isServed() bool { return o.err == nil && o.status == http.StatusOK }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -48,6 +48,8 @@
 	Hosts, Engines, Callers int
 	// Binary is the path of the program that runs as an entry host.
 	Binary string
+	// Logs is the directory in which the run leaves its logs; empty for none.
+	Logs string
 	// Out receives the summary and each violation.
 	Out io.Writer
 
@@ -61,6 +63,7 @@
 	disturbances  disturbances
 	owners        owners
 	pauser        pauser
+	journal       journal
 }
 
 // Run runs the test; if a guarantee was violated, it returns ErrGuaranteeViolated with the first violation.
@@ -105,11 +108,16 @@
 	s.pauser.pauses.Wait()
 	s.undoAllFaults()
 	s.recorder.startRecovery()
+	s.journal.add("all faults are undone")
 	<-runCtx.Done()
 	callers.Wait()
 	<-stated
 	s.crasher.restarts.Wait()
-	return s.checkGuarantees()
+	err := s.checkGuarantees()
+	if s.Logs != "" {
+		err = errors.CombineErrors(err, s.keep())
+	}
+	return err
 }
 
 func (s *Soak) start(ctx context.Context) error {
