fix(mirror): the wait at a reading host is no age of what the store confirmed meanwhile

A host that reads the table from another one dated the confirmation back to the begin of its own call, although the other host states the age at the end: the call waits there for a change for 352 ms, which counted twice. On five hosts of six the table was up to four waits old with nothing wrong, so that a stall of 0.4 s could make all of them refuse every request with a key.

Fix: the age that a host states is that at the call, not at its answer. Both are differences of one clock, so that a confirmation is never taken for later than it was; the test checks that too.

TestWaitAtTheReadingHostMakesItsConfirmationOlder failed on the code before in both rows (0.75 s where 0.3 s are allowed, 1.2 s where 0.9 s).

--- a/internal/mirror/cache.go
+++ b/internal/mirror/cache.go
@@ -121,14 +121,16 @@
 
 // read returns all documents if since is 0, and otherwise the changes after it as soon as there are any; after wait it
 // returns an empty batch. While this host reads the first list, read waits for it. The error is ErrNotReading, also as soon as
-// the last confirmation is older than maxAge, ErrLoading, ErrHistoryGone or that of ctx.
+// the last confirmation is older than maxAge, ErrLoading, ErrHistoryGone or that of ctx. The batch's age is that at the call.
 func (c *cache) read(ctx context.Context, since int64, wait, maxAge time.Duration) (Batch, error) {
-	end := time.Now().Add(wait)
+	asked, end := ticks.Now(), time.Now().Add(wait)
 	for {
+		waited := ticks.Now() - asked
 		b, changed, err := c.changesSince(since, maxAge)
 		isLoading := errors.Is(err, ErrLoading)
 		left := time.Until(end)
 		if !isLoading && (err != nil || since == 0 || len(b.Changed)+len(b.Removed) > 0) || left <= 0 {
+			b.Age -= waited
 			return b, err
 		}
 		if !isLoading {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -50,7 +50,8 @@
 	Revision int64
 	Changed  []Document
 	Removed  []string
-	// Age is an upper bound of the time since the store confirmed the batch.
+	// Age is an upper bound of the time from the store's confirmation of the batch until the call for it; negative if the store
+	// confirmed it during the call.
 	Age time.Duration
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -291,3 +291,40 @@
 	}, poll.WithDelay(5*time.Millisecond))
 	assert.Assert(t, time.Since(began) < 2*brokenDuration)
 }
+
+// TestWaitAtTheReadingHostMakesItsConfirmationOlder guards against tables that grow too old to accept keys on a busy machine: a host
+// counted the time for which its call had waited at the reading host as age of what the store had confirmed meanwhile.
+func TestWaitAtTheReadingHostMakesItsConfirmationOlder(t *testing.T) {
+	const wait = 600 * time.Millisecond
+	for _, tc := range []struct {
+		name          string
+		confirmsWhile bool
+		maxAge        time.Duration
+	}{
+		{"confirmed during the wait", true, wait / 2},
+		{"not confirmed during the wait", false, wait * 3 / 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			reader := newMirror(&fakeStore{batch: Batch{Revision: 10}}, &fakeReaders{})
+			_, err := reader.List(t.Context(), "k")
+			assert.NilError(t, err)
+			host := serve(t, reader)
+			follower := newMirror(&fakeStore{err: errors.New("not to be called")}, &fakeReaders{host: &host})
+			t.Cleanup(follower.Link.Close)
+			if tc.confirmsWhile {
+				confirmations := time.AfterFunc(wait*3/4, func() { _, _ = reader.Changes(context.Background(), "k", 10, 0) })
+				t.Cleanup(func() { confirmations.Stop() })
+			}
+			began := ticks.Now()
+			b, err := follower.Changes(t.Context(), "k", 10, wait)
+			ended := ticks.Now()
+			assert.NilError(t, err)
+			confirmed := began - b.Age
+			assert.Assert(t, ended-confirmed < tc.maxAge, "%s old", ended-confirmed)
+			c := reader.cache("k")
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			assert.Assert(t, confirmed <= c.confirmed, "confirmed %s after the store did", confirmed-c.confirmed)
+		})
+	}
+}
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -34,7 +34,7 @@
 	// tableWait bounds the wait of one call for a newer table.
 	tableWait = 800 * time.Millisecond
 	// pollsPerKeyAge is the number of waits for a newer table that the maximum key age allows. A confirmation is up to two
-	// waits old at the reading host, two more at a host that reads from it, and one call may fail.
+	// waits old at the reading host and one more at a host that reads from it; a call may fail, or both hosts may be late.
 	pollsPerKeyAge = 5
 	// The parts of the time in which a table must be in force everywhere: the wait of a call for a newer one, the time that this
 	// call has beyond its wait, the time that another host has for it, and the age up to which another host's table counts.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -34,7 +34,8 @@
 	Changed  []T
 	// Removed are the names of deleted objects; always empty in a list.
 	Removed []string
-	// Age is an upper bound of the time since the store confirmed the batch.
+	// Age is an upper bound of the time from the store's confirmation of the batch until the call for it; negative if the store
+	// confirmed it during the call.
 	Age time.Duration
 }
 
