test(soak): the recovery period begins when all faults are undone

Cause: a run ended 5 s after the last injection, while faults last up to 2.5 s more, and a host that stops up to its grace period. With the 2 s in which hosts may notice, 3 s to nothing remained.

The period now begins when all faults are undone, as its comment says, so that each run checks 3 s. Runs take up to some seconds longer. TestRecoveryIsCheckedForItsWholePeriod failed on the code before: requests were sent until 2.96 s after the end of the faults, of 5 s.

--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -47,6 +47,22 @@
 	}
 }
 
+// TestRecoveryIsCheckedForItsWholePeriod has a seed whose last fault is undone 1.7 s after the end of the injections. The time until then was
+// taken from the recovery period, so that few requests or none were checked.
+func TestRecoveryIsCheckedForItsWholePeriod(t *testing.T) {
+	var out bytes.Buffer
+	s := &Soak{Seed: 3, Duration: 500 * time.Millisecond, Hosts: 2, Engines: 4, Callers: 8, Binary: buildBinary(t), Out: &out}
+	assert.NilError(t, s.Run(t.Context()), out.String())
+	var last time.Time
+	for _, o := range s.recorder.outcomes {
+		if o.sentAt.After(last) {
+			last = o.sentAt
+		}
+	}
+	checked := last.Sub(s.recorder.recoveryStart)
+	assert.Assert(t, checked > recoveryPeriod-time.Second, "requests were sent until %s after the end of the faults", checked)
+}
+
 // TestServersGetWhatTheyState has a seed on which servers got more than they stated before hosts read it.
 func TestServersGetWhatTheyState(t *testing.T) {
 	var out bytes.Buffer
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 // ErrGuaranteeViolated is returned by Soak.Run when a guarantee was violated.
@@ -36,7 +37,7 @@
 	Seed uint64
 	// Duration is how long faults are injected.
 	Duration time.Duration
-	// Recovery is the time without faults at the end; zero stands for recoveryPeriod.
+	// Recovery is the time without faults at the end, after the last one is undone; zero stands for recoveryPeriod.
 	Recovery time.Duration
 	// DeadlyRatio is the fraction of reports whose prompts hold a part that crashes engines.
 	DeadlyRatio float64
@@ -78,7 +79,7 @@
 	if recovery == 0 {
 		recovery = recoveryPeriod
 	}
-	runCtx, cancel := context.WithTimeout(ctx, s.Duration+recovery)
+	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var callers sync.WaitGroup
 	for i := range s.Callers {
@@ -109,7 +110,8 @@
 	s.undoAllFaults()
 	s.recorder.startRecovery()
 	s.journal.add("all faults are undone")
-	<-runCtx.Done()
+	ticks.Sleep(runCtx, recovery)
+	cancel()
 	callers.Wait()
 	<-stated
 	s.crasher.restarts.Wait()
