--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 // ErrGuaranteeViolated is returned by Soak.Run when a guarantee was violated.
@@ -36,7 +37,7 @@
 	Seed uint64
 	// Duration is how long faults are injected.
 	Duration time.Duration
-	// Recovery is the time without faults at the end; zero stands for recoveryPeriod.
+	// Recovery is the time without faults at the end, after the last one is undone; zero stands for recoveryPeriod.
 	Recovery time.Duration
 	// DeadlyRatio is the fraction of reports whose prompts hold a part that crashes engines.
 	DeadlyRatio float64
@@ -48,6 +49,8 @@
 	Hosts, Engines, Callers int
 	// Binary is the path of the program that runs as an entry host.
 	Binary string
+	// Logs is the directory in which the run leaves its logs; empty for none.
+	Logs string
 	// Out receives the summary and each violation.
 	Out io.Writer
 
@@ -61,6 +64,7 @@
 	disturbances  disturbances
 	owners        owners
 	pauser        pauser
+	journal       journal
 }
 
 // Run runs the test; if a guarantee was violated, it returns ErrGuaranteeViolated with the first violation.
@@ -75,7 +79,7 @@
 	if recovery == 0 {
 		recovery = recoveryPeriod
 	}
-	runCtx, cancel := context.WithTimeout(ctx, s.Duration+recovery)
+	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var callers sync.WaitGroup
 	for i := range s.Callers {
@@ -105,11 +109,17 @@
 	s.pauser.pauses.Wait()
 	s.undoAllFaults()
 	s.recorder.startRecovery()
-	<-runCtx.Done()
+	s.journal.add("all faults are undone")
+	ticks.Sleep(runCtx, recovery)
+	cancel()
 	callers.Wait()
 	<-stated
 	s.crasher.restarts.Wait()
-	return s.checkGuarantees()
+	err := s.checkGuarantees()
+	if s.Logs != "" {
+		err = errors.CombineErrors(err, s.keep())
+	}
+	return err
 }
 
 func (s *Soak) start(ctx context.Context) error {
