fix(notice): one host more or less leaves the others their shares of a limit

Above 100 hosts a limit is shared by rank, by the hosts that follow a position that depends on the server. The position was the server's hash modulo the number of hosts, so that each host that joined, died or was silent for a moment moved it anywhere: all hosts that shared the limit lost their parts, and others that had saved little took them over.

TestOneHostMoreLeavesTheOthersTheirShares fails on the code before: 0 of 24 hosts keep their share.

--- a/internal/notice/split.go
+++ b/internal/notice/split.go
@@ -77,7 +77,7 @@
 	if needed := demandFactor * limit / meanDemand; needed <= float64(hosts) {
 		sharing = max(1, int(math.Ceil(needed)))
 	}
-	offset := int(xxhash.Sum64String(server) % uint64(hosts))
+	offset := int(float64(hosts) * (float64(xxhash.Sum64String(server)>>11) / (1 << 53)))
 	if (rank+offset)%hosts >= sharing {
 		return 0
 	}
--- a/internal/notice/split_test.go
+++ b/internal/notice/split_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,3 +44,29 @@
 		}
 	}
 }
+
+// TestOneHostMoreLeavesTheOthersTheirShares guards against a limit that goes unused because all of its hosts change with their number.
+func TestOneHostMoreLeavesTheOthersTheirShares(t *testing.T) {
+	const limit, perHost = 3, 0.5
+	sharing := func(server string, hosts int) []int {
+		var ranks []int
+		for rank := range hosts {
+			if ShareByRank(server, limit, perHost, rank, hosts) > 0 {
+				ranks = append(ranks, rank)
+			}
+		}
+		return ranks
+	}
+	for hosts := 101; hosts <= 400; hosts++ {
+		for i := range 10 {
+			server := fmt.Sprint("s", i)
+			before, same := sharing(server, hosts), 0
+			for _, rank := range sharing(server, hosts+1) {
+				if slices.Contains(before, rank) {
+					same++
+				}
+			}
+			assert.Assert(t, same >= len(before)-1, "%s: %d of %d hosts keep their share if the last of %d joins", server, same, len(before), hosts+1)
+		}
+	}
+}
