fix(notice): a host on a machine that has just booted learns older statements

A host that had started on a fresh machine sent requests to a server that had stated long before that it leaves, and took no notice of its limit. Hosts report ages, and ages greater than the time since the reader's machine booted counted as "never".

TestHostOnAMachineThatHasJustBootedLearnsWhatIsOlder fails on the code before (IsLeaving is false 20 s after the statement, on a machine that is up for 2 s).

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -20,6 +20,8 @@
 	// same for one that leaves, which gets none.
 	forgetAfter        = time.Minute
 	forgetLeavingAfter = 10 * time.Minute
+	// maxAge is the age up to which other hosts' statements count, however short a time this machine has been up.
+	maxAge = 24 * time.Hour
 	// minLimit is the lowest limit in requests a second that is kept to: at none, no answer could end it.
 	minLimit = 0.05
 	// maxLimit is what a higher limit counts as; no deployment sends as much.
@@ -215,11 +217,12 @@
 	}
 }
 
+// now returns the time as of the table's clock, at least maxAge: it is compared with ages that other hosts report.
 func (t *Table) now() time.Duration {
 	if t.Now != nil {
-		return t.Now()
+		return maxAge + t.Now()
 	}
-	return ticks.Now()
+	return maxAge + ticks.Now()
 }
 
 func (t *Table) phase() float64 {
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -127,3 +127,15 @@
 	now += time.Second
 	assert.Equal(t, table.Wait("s1", false), time.Duration(0), "the next incarnation has asked for none")
 }
+
+// TestHostOnAMachineThatHasJustBootedLearnsWhatIsOlder guards against reports that are dropped for their age.
+func TestHostOnAMachineThatHasJustBootedLearnsWhatIsOlder(t *testing.T) {
+	now, justBooted := time.Hour, 2*time.Second
+	table, other := newTable(&now), newTable(&justBooted)
+	table.Heard(Server{ID: "s1"}, Statement{IsLeaving: true})
+	table.Heard(Server{ID: "s2"}, Statement{Limit: 2})
+	now += 20 * time.Second
+	other.Merge("h1", table.Report())
+	assert.Assert(t, other.IsLeaving("s1", 0))
+	assert.Assert(t, other.IsLimited("s2"))
+}
