fix(notice): a server that takes long to leave gets no requests after ten minutes

A server that had stated that it leaves, and was still listed ten minutes later, got requests again, which the rule DRAIN forbids until it has a new lifetime: the statement was forgotten ten minutes after it was made, and since nothing is sent to such a server, no later answer renewed it. The time now counts from the last time that a caller asked whether the server leaves; placing asks for all servers that it knows, so that servers that are gone are forgotten as before.

TestLeavingIsRememberedWhileTheServerIsListed fails on the code before (IsLeaving is false after 12 minutes).

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -17,7 +17,7 @@
 	// the same moment may arrive in any order, and a server may state it in some of them only.
 	endDelay = 2 * time.Second
 	// forgetAfter is how long a state without news is kept: the server has ended or gets no requests. forgetLeavingAfter is the
-	// same for one that leaves, which gets none.
+	// same for one that leaves, which gets none; it counts from the last time that a caller asked about it.
 	forgetAfter        = time.Minute
 	forgetLeavingAfter = 10 * time.Minute
 	// maxAge is the age up to which other hosts' statements count, however short a time this machine has been up.
@@ -78,6 +78,8 @@
 	unlimitedAt time.Duration
 	// leavingAt is when the server first stated that it leaves; that lasts for the incarnation.
 	leavingAt time.Duration
+	// askedAt is when a caller last asked whether the server leaves.
+	askedAt time.Duration
 	// pausedUntil is until when the server wants nothing from this host; hasSentInPause is set once it got a request that could
 	// not wait.
 	pausedUntil    time.Duration
@@ -101,7 +103,7 @@
 // isOutdated reports whether nothing has been heard of the server for so long that it can be forgotten.
 func (s *state) isOutdated(now time.Duration) bool {
 	if s.leavingAt > 0 {
-		return now-s.newsAt() > forgetLeavingAfter
+		return now-max(s.newsAt(), s.askedAt) > forgetLeavingAfter
 	}
 	return now-s.newsAt() > forgetAfter
 }
@@ -171,7 +173,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[server]
-	return s != nil && s.leavingAt > 0 && s.StartedMS >= startedMS
+	if s == nil {
+		return false
+	}
+	s.askedAt = t.now()
+	return s.leavingAt > 0 && s.StartedMS >= startedMS
 }
 
 // state returns the state of a server's incarnation, nil if a later one is known, or if there is none and it is not to be made; the
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -139,3 +139,17 @@
 	assert.Assert(t, other.IsLeaving("s1", 0))
 	assert.Assert(t, other.IsLimited("s2"))
 }
+
+// TestLeavingIsRememberedWhileTheServerIsListed guards against requests to a server that takes long to leave.
+func TestLeavingIsRememberedWhileTheServerIsListed(t *testing.T) {
+	now := time.Hour
+	table := newTable(&now)
+	table.Heard(Server{ID: "s1", StartedMS: 5}, Statement{IsLeaving: true})
+	table.Heard(Server{ID: "s2", StartedMS: 5}, Statement{IsLeaving: true})
+	for range 30 {
+		now += time.Minute
+		assert.Assert(t, table.IsLeaving("s1", 5), now)
+		table.Report()
+	}
+	assert.Equal(t, len(table.servers), 1, "a server that no caller asks about is forgotten")
+}
