fix(notice): a start time that is learned later begins a new state

A server whose entry had no start time and that had stated anything kept a state of unknown start. Once its entry had a start time, "leaving" was recorded there, while IsLeaving asks for that start or a later one: the server got requests although it had stated that it leaves. A known start now begins a new state, as a later one does; that is how IsLeaving already reads the older state.

TestStartTimeThatIsLearnedLater fails on the code before.

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -185,7 +185,7 @@
 func (t *Table) state(server Server, mustExist bool, now time.Duration) *state {
 	s := t.servers[server.ID]
 	switch {
-	case s == nil || s.StartedMS == 0 || server.StartedMS == 0:
+	case s == nil || server.StartedMS == 0:
 	case server.StartedMS < s.StartedMS:
 		return nil
 	case server.StartedMS > s.StartedMS:
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -153,3 +153,12 @@
 	}
 	assert.Equal(t, len(table.servers), 1, "a server that no caller asks about is forgotten")
 }
+
+// TestStartTimeThatIsLearnedLater guards against statements that are kept for an incarnation of unknown start.
+func TestStartTimeThatIsLearnedLater(t *testing.T) {
+	now := time.Hour
+	table := newTable(&now)
+	table.Heard(Server{ID: "s1"}, Statement{Limit: 2})
+	table.Heard(Server{ID: "s1", StartedMS: 5}, Statement{IsLeaving: true})
+	assert.Assert(t, table.IsLeaving("s1", 5))
+}
