fix(gossip): reports that waited for a paused host are not taken for news

Callers were refused for two to three seconds at all hosts after one of them had run again: a server's limit had ended meanwhile, and it was in force again. Reports hold ages. Datagrams wait in the socket while a process is paused, and an age of some milliseconds that is read seconds later makes an old statement the latest one, which the host then passes on to the others.

The host notices that its ticks were late and applies no statements for the time in which it reads what has waited; each statement is repeated. The other contents of datagrams hold no ages of statements and are applied as before.

TestStatementsThatWaitedForAPausedHostAreNotNews fails on the code before, with digests and with summaries.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -95,7 +95,8 @@
 
 	// wake triggers a broadcast at once: when this host has sent a request, whose load the others need before they place
 	// their next ones, and when it has discovered a host.
-	wake chan struct{}
+	wake   chan struct{}
+	pauses pauses
 
 	mu      sync.Mutex
 	peers   map[string]*peer
@@ -395,7 +396,7 @@
 		g.Pool.SetRemoteLoads(d.Host, c.Loads)
 	}
 	g.Crashes.Merge(d.Crashes)
-	g.Notices.Merge(d.Host, d.Notices)
+	g.mergeNotices(d.Host, d.Notices, now)
 }
 
 // expire marks hosts without recent digests as unresponsive and drops their loads.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -25,6 +25,7 @@
 		select {
 		case <-ticker.C:
 		case <-relayTicker.C:
+			g.pauses.tick(time.Now())
 			g.relay(socket)
 			continue
 		case <-g.wake:
--- a/internal/gossip/summary.go
+++ b/internal/gossip/summary.go
@@ -304,7 +304,7 @@
 		g.Pool.UpdateRemoteLoads(sumName, c.Loads)
 	}
 	g.Crashes.Merge(s.Crashes)
-	g.Notices.Merge(s.Host, s.Notices)
+	g.mergeNotices(s.Host, s.Notices, now)
 }
 
 // applyMembers applies the relays and readers that a summary names; hosts that it covers and does not name are no readers
