fix(gossip): a host that loses the others keeps its part of a limit

A backend server got as many times its limit as hosts were cut off, and above 100 hosts all hosts of a failure domain whose relays were lost for 2.5 s took the whole limit each, in touch with all the others. LimitShare shared among the hosts heard in the last 2.5 s only, and a host that hears none is then alone.

Where relays send sums, the last rank and sum count until the next ones; before the first sum, a host has one part in as many as it knows. Otherwise a host that has lost three others or more at the same time, none of which announced that it leaves, counts them as it last heard of them, until they are forgotten after a minute. Two or three hosts share as before, since the others may have died.

TestHostsThatLoseTheOthersKeepTheirPartOfALimit fails on the code before: the part of one of 6 and of one of 24 hosts becomes 1.00 after 2.5 s of silence.

--- a/internal/gossip/notice_test.go
+++ b/internal/gossip/notice_test.go
@@ -57,3 +57,34 @@
 		return isOrdered && sum > 0.9 && sum < 1.3
 	})
 }
+
+// TestHostsThatLoseTheOthersKeepTheirPartOfALimit guards against hosts that each take a whole limit because they are cut off or have
+// lost their relays.
+func TestHostsThatLoseTheOthersKeepTheirPartOfALimit(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		hosts int
+	}{{"mesh", 6}, {"relays", 24}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			all := startLarge(t, tc.hosts)
+			for _, m := range all {
+				for range 100 {
+					m.Budget.Arrived("mill")
+				}
+			}
+			last := all[len(all)-1]
+			part := func() float64 { return last.LimitShare("s1", "mill", 60) }
+			eventually(t, "the host to know all requests", func() bool {
+				sends, others := last.Sends("mill")
+				return others == tc.hosts-1 && sends.Arrivals == 100*others && part() <= 2/float64(tc.hosts)
+			})
+			for _, m := range all[:len(all)-1] {
+				m.stop()
+			}
+			for began := time.Now(); time.Since(began) < 2*unresponsiveAfter; time.Sleep(100 * time.Millisecond) {
+				assert.Assert(t, part() <= 2/float64(tc.hosts), "%.2f after %s", part(), time.Since(began))
+			}
+		})
+	}
+}
--- a/internal/gossip/share.go
+++ b/internal/gossip/share.go
@@ -1,29 +1,45 @@
 package gossip
 
 import (
+	"maps"
 	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/tarragonspur/tarragonspur/internal/notice"
+	"github.com/tarragonspur/tarragonspur/internal/tally"
 )
 
+// cutOffHosts is the number of other hosts from which on their silence means that this host is cut off: they don't all end together.
+const cutOffHosts = 3
+
 // LimitShare returns the part of a backend server's limit that this host may use, by the requests to the service at all live
-// hosts. Its own are those of its last digest, as others know them.
+// hosts. Its own are those of its last digest, as others know them. A host that has lost all others, or its relays, keeps the part
+// that it had, since the others use theirs.
 func (g *Gossip) LimitShare(server, service string, limit float64) float64 {
 	seconds := g.Budget.Window.Seconds()
-	rank, hosts, isRanked := g.rank()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	own := float64(g.own.Services[service].SendCounts.Arrivals) / seconds
 	now := time.Now()
-	if isRanked {
-		others := g.otherHosts(now).Services[service].SendCounts.Arrivals
-		return notice.ShareByRank(server, limit, (own+float64(others)/seconds)/float64(hosts), rank, hosts)
+	if g.isRelayed(now) {
+		if g.liveHosts < 1 {
+			return 1 / float64(g.known(now))
+		}
+		others := g.others.Services[service].SendCounts.Arrivals
+		return notice.ShareByRank(server, limit, (own+float64(others)/seconds)/float64(g.liveHosts), g.position, g.liveHosts)
+	}
+	others := g.reporters.Recent(now)
+	if len(others) == 0 {
+		known := g.reporters.Known(now)
+		maps.DeleteFunc(known, func(name string, _ tally.Counts) bool { return g.peers[name] != nil && g.peers[name].leaving })
+		if len(known) >= cutOffHosts {
+			others = known
+		}
 	}
 	demand := map[string]float64{g.Self: own}
-	for name, c := range g.reporters.Recent(now) {
+	for name, c := range others {
 		demand[name] = float64(c.Services[service].SendCounts.Arrivals) / seconds
 	}
 	return notice.ShareByDemand(server, limit, g.Self, demand)
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -109,14 +109,19 @@
 }
 
 // Recent returns the counts of the sources with recent news, by name.
-func (s *Sources) Recent(now time.Time) map[string]Counts {
-	recent := make(map[string]Counts, len(s.all))
+func (s *Sources) Recent(now time.Time) map[string]Counts { return s.within(s.MaxAge, now) }
+
+// Known returns the last counts of the sources that are not forgotten, by name.
+func (s *Sources) Known(now time.Time) map[string]Counts { return s.within(s.MaxKnownAge, now) }
+
+func (s *Sources) within(age time.Duration, now time.Time) map[string]Counts {
+	counts := make(map[string]Counts, len(s.all))
 	for name, c := range s.all {
-		if now.Sub(c.at) <= s.MaxAge {
-			recent[name] = c.Counts
+		if now.Sub(c.at) <= age {
+			counts[name] = c.Counts
 		}
 	}
-	return recent
+	return counts
 }
 
 // Sum returns the sum of all sources with recent news.
