--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -127,3 +127,38 @@
 	now += time.Second
 	assert.Equal(t, table.Wait("s1", false), time.Duration(0), "the next incarnation has asked for none")
 }
+
+// TestHostOnAMachineThatHasJustBootedLearnsWhatIsOlder guards against reports that are dropped for their age.
+func TestHostOnAMachineThatHasJustBootedLearnsWhatIsOlder(t *testing.T) {
+	now, justBooted := time.Hour, 2*time.Second
+	table, other := newTable(&now), newTable(&justBooted)
+	table.Heard(Server{ID: "s1"}, Statement{IsLeaving: true})
+	table.Heard(Server{ID: "s2"}, Statement{Limit: 2})
+	now += 20 * time.Second
+	other.Merge("h1", table.Report())
+	assert.Assert(t, other.IsLeaving("s1", 0))
+	assert.Assert(t, other.IsLimited("s2"))
+}
+
+// TestLeavingIsRememberedWhileTheServerIsListed guards against requests to a server that takes long to leave.
+func TestLeavingIsRememberedWhileTheServerIsListed(t *testing.T) {
+	now := time.Hour
+	table := newTable(&now)
+	table.Heard(Server{ID: "s1", StartedMS: 5}, Statement{IsLeaving: true})
+	table.Heard(Server{ID: "s2", StartedMS: 5}, Statement{IsLeaving: true})
+	for range 30 {
+		now += time.Minute
+		assert.Assert(t, table.IsLeaving("s1", 5), now)
+		table.Report()
+	}
+	assert.Equal(t, len(table.servers), 1, "a server that no caller asks about is forgotten")
+}
+
+// TestStartTimeThatIsLearnedLater guards against statements that are kept for an incarnation of unknown start.
+func TestStartTimeThatIsLearnedLater(t *testing.T) {
+	now := time.Hour
+	table := newTable(&now)
+	table.Heard(Server{ID: "s1"}, Statement{Limit: 2})
+	table.Heard(Server{ID: "s1", StartedMS: 5}, Statement{IsLeaving: true})
+	assert.Assert(t, table.IsLeaving("s1", 5))
+}
