fix(front): a run whose error answer breaks off has ended before the next server gets it

Seen: a stream that any server may resume, or that has not begun, is answered with status 500; the answer's connection breaks before its body is complete. The next backend server received the request while the first one worked on it, and nobody had asked that one.

Cause: openUpstream adds a server to the list of runs that may be at work if the send fails, but not if the body of an answer of status 300 or more can't be read. The list was then empty, and awaitEnds had nothing to wait for.

Why it works: a failed read adds the server. A server that says that it works on the run keeps it, and the caller gets an error; one without such a run is left, and the request is sent to the next one.

Evidence: TestServerWhoseErrorBreaksOffEndsItsRunFirst failed in both rows on the code before (two servers received the request where the first one keeps its run; the second one received it before the first was asked). It passes 5 of 5 times with the fix. go test -race ./internal/front ./platform: one failure, TestLargeBodiesDoNotExceedTheHostsMemory/without_a_length (11 served and 1 refused; on a busy machine), which sends nothing on this path and passed six times in a row by itself.

--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -48,6 +48,55 @@
 	assert.Equal(t, len(r.received()), 1, "another backend server received it beside a run at work")
 }
 
+// TestServerWhoseErrorBreaksOffEndsItsRunFirst guards against a second run beside one whose server has begun to answer with an error.
+func TestServerWhoseErrorBreaksOffEndsItsRunFirst(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// move is the answer to the call that ends the run.
+		move int
+		want int
+	}{
+		{"it works on", http.StatusServiceUnavailable, 1},
+		{"it has no such run", http.StatusNotFound, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, paths := newPathRig(t)
+			var runs, moves, early atomic.Int32
+			for _, e := range r.engines {
+				e.Script = func(conn net.Conn, q *plat.Request) bool {
+					switch {
+					case q.URL.Path == movePath:
+						moves.Add(1)
+						plat.Reply(conn, q, tc.move, "", "")
+						return true
+					case q.Method != http.MethodPost || q.Attempt() != attempt:
+					case runs.Add(1) == 1:
+						_, _ = io.WriteString(conn, "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: "+attempt+"\r\nContent-Length: 100\r\n\r\n{")
+						time.Sleep(2 * time.Second) // works on
+						return true
+					case moves.Load() == 0:
+						early.Add(1)
+					}
+					return false
+				}
+			}
+			answers := make(chan reply, 1)
+			go func() { answers <- r.do(t, streamRequest("/note/x")) }()
+			eventually(t, "the request", func() bool { return len(r.received()) == 1 })
+			time.Sleep(100 * time.Millisecond)
+			for _, p := range paths {
+				p.breakConnections()
+			}
+			got := <-answers
+			assert.Equal(t, len(r.received()), tc.want, "backend servers that received the request")
+			assert.Equal(t, early.Load(), int32(0), "one received it before the run was asked to end")
+			if tc.want > 1 {
+				assert.Equal(t, got.text, fullStream(60))
+			}
+		})
+	}
+}
+
 // TestUnframedStreamThatIsAskedToEndDoesNotLookComplete guards against a stream that ends as it was asked to and passes for a whole one.
 func TestUnframedStreamThatIsAskedToEndDoesNotLookComplete(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -162,6 +162,9 @@
 		defer q.close(f)
 		defer answer.Close()
 		full, err := q.readAnswer(ctx, lease, answer)
+		if err != nil {
+			q.addUnended(lease.Server)
+		}
 		return nil, full, err
 	}
 	f.answer, f.header, f.status, f.isUnframed = answer, answer.Header, answer.Status, answer.IsUnframed
