fix(front): the connection of a run is closed before the next send

Seen: a stream leaves its backend server for a standby copy, in a service whose servers can't stop runs. The copy's server could receive the request while the connection to the first one was open, which is all that ends a run there.

Cause: an upstream was closed by the end of its context, upon which another goroutine closes the connection, at some later time. The copy's connection is already open then, so that the request follows within microseconds; only the scheduler decided which came first.

Why it works: the connection is closed by the goroutine that sends next, and a close returns only once the connection is closed, also where the reader of the stream has begun to close it.

Other ways on which a run goes on elsewhere in such a service, as read: failed sends, answers that can't be read and plain requests close their connection in the goroutine that sends next.

--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -113,11 +113,14 @@
 	}()
 }
 
-// close cancels an upstream request, releases its lease and discards its copy.
+// close closes the connection of an upstream request, releases its lease and discards its copy.
 func (q *request) close(f *upstream) {
 	if f == nil {
 		return
 	}
+	if f.answer != nil {
+		f.answer.Close()
+	}
 	f.cancel()
 	f.lease.Release()
 	q.discard(f.standby)
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -86,6 +87,7 @@
 
 	conn          net.Conn
 	stopAfterFunc func() bool
+	closed        sync.Once
 }
 
 // EndRequest closes the connection towards the backend server, which cancels the request there. The backend server closes its end once
@@ -97,10 +99,13 @@
 	return errors.New("the connection has no ends to close apart")
 }
 
-// Close closes the connection, which cancels the request at the backend server if it is still running.
+// Close closes the connection, which cancels the request at the backend server if it is still running. It returns once the connection is
+// closed, also if another goroutine has called it.
 func (a *Answer) Close() {
-	a.stopAfterFunc()
-	_ = a.conn.Close()
+	a.closed.Do(func() {
+		a.stopAfterFunc()
+		_ = a.conn.Close()
+	})
 }
 
 // Connect opens a connection to a backend server. Errors are marked ErrNotSent.
