fix(front): a copy that does not go on is freed

Seen: a copy made on demand, or as a run ended, took its engine's memory until it expired (5 s) if a later step failed: its server refused the request, could not be reached, was no longer available or answered with an error, the run before had not ended, or the caller left while the host connected.

Cause: only a migration that is given up and a quarantined request discarded the copy; keepConnected, claimCopy for a server that is not available, openFromCopy and openUpstream returned their errors without it.

Why it works: each of these discards the copy, in the background, as a migration that is given up does. Standby copies are left to their engines as before.

--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -187,6 +187,58 @@
 	assert.Equal(t, lost, 0, "streams lost of 4")
 }
 
+// TestCopyThatDoesNotGoOnIsFreed guards against copies that take an engine's memory until they expire, because a later step failed.
+func TestCopyThatDoesNotGoOnIsFreed(t *testing.T) {
+	for _, tc := range []struct {
+		name, path string
+		// keepsRun makes calls that end runs be refused.
+		keepsRun bool
+		// leaves makes the source leave, breaks its connections break.
+		leaves, breaks bool
+	}{
+		{"refused, the source leaves", "/report/x", false, true, false},
+		{"refused, made as the run ended", "/note/x", false, false, true},
+		{"the run has not ended", "/report/x", true, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, paths := newPathRig(t)
+			r.disableStandbyCopies()
+			for _, e := range r.engines {
+				e.IgnoresEnds = tc.breaks
+				e.Script = func(conn net.Conn, q *plat.Request) bool {
+					isRefused := q.ResumesRun() || tc.keepsRun && q.URL.Path == movePath && strings.Contains(q.Text, `"last":true`)
+					if isRefused {
+						plat.Reply(conn, q, http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n")
+					}
+					return isRefused
+				}
+			}
+			done := make(chan reply, 1)
+			go func() { done <- r.do(t, streamRequest(tc.path)) }()
+			source := r.runningEngine(t)
+			time.Sleep(200 * time.Millisecond)
+			i := r.index(source)
+			if tc.leaves {
+				r.putAt(i, paths[i].address(), true)
+				time.Sleep(200 * time.Millisecond)
+			}
+			if tc.breaks {
+				paths[i].breakConnections()
+			}
+			<-done
+			r.Wait(t.Context())
+			made := 0
+			for _, q := range source.Requests() {
+				if q.URL.Path == movePath {
+					made++
+				}
+			}
+			assert.Assert(t, made > 0)
+			assert.Equal(t, r.copies.Count(), 0, "copies left to expire")
+		})
+	}
+}
+
 // TestClosedPortIsNoProofWhileEventsCome guards against a second run beside one whose server only accepts no more connections.
 func TestClosedPortIsNoProofWhileEventsCome(t *testing.T) {
 	r, paths := newPathRig(t)
--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -145,6 +145,7 @@
 			c.handover.lease.RecordConnectionFailure(time.Now())
 		}
 		c.handover.lease.Release()
+		s.discardOnDemand(c.handover.standby)
 	}
 	s.Meter.Resumed("refused")
 	s.log.Info("stream could not go on elsewhere", "error", c.err, "last_event", s.lastNumber)
@@ -224,9 +225,7 @@
 	s.handover = nil
 	h.conn.Close()
 	h.lease.Release()
-	if !h.standby.copiedAt.IsZero() {
-		s.discard(h.standby)
-	}
+	s.discardOnDemand(h.standby)
 }
 
 // hasEndedOnRequest reports whether an error of the current upstream shows that its backend server has ended the run on request.
@@ -246,6 +245,7 @@
 	sb.releaseClaim()
 	lease, err := s.Pool.Claim(sb.claim.Server.ID, s.expectedTokens(), time.Now())
 	if err != nil {
+		s.discardOnDemand(sb)
 		return nil, err
 	}
 	if err := s.guarded.Send(s.ctx, lease.Server.ID); err != nil {
@@ -262,7 +262,10 @@
 	metadata.ResumeFrom, metadata.LastEvent = c.standby.copy, s.lastEventID()
 	f, answer, err := s.openUpstream(ctx, c.lease, metadata, conn)
 	if answer != nil {
-		return nil, errors.Newf("backend server %s answered with status %d instead of a stream", c.lease.Server.ID, answer.status)
+		err = errors.Newf("backend server %s answered with status %d instead of a stream", c.lease.Server.ID, answer.status)
+	}
+	if err != nil {
+		s.discardOnDemand(c.standby)
 	}
 	return f, err
 }
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -113,6 +113,13 @@
 	}()
 }
 
+// discardOnDemand discards a copy that could not be used and was made on demand; a standby copy ends with its run.
+func (q *request) discardOnDemand(s *standby) {
+	if !s.copiedAt.IsZero() {
+		q.discard(s)
+	}
+}
+
 // close closes the connection of an upstream request, releases its lease and discards its copy.
 func (q *request) close(f *upstream) {
 	if f == nil {
@@ -159,9 +166,11 @@
 			q.addUnended(lease.Server)
 		}
 		q.close(f)
+		q.discard(&standby{claim: lease, copy: made})
 		return nil, nil, err
 	}
 	if answer.Status >= http.StatusMultipleChoices {
+		defer q.discard(&standby{claim: lease, copy: made})
 		defer q.close(f)
 		defer answer.Close()
 		full, err := q.readAnswer(ctx, lease, answer)
