--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -48,6 +48,55 @@
 	assert.Equal(t, len(r.received()), 1, "another backend server received it beside a run at work")
 }
 
+// TestServerWhoseErrorBreaksOffEndsItsRunFirst guards against a second run beside one whose server has begun to answer with an error.
+func TestServerWhoseErrorBreaksOffEndsItsRunFirst(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// move is the answer to the call that ends the run.
+		move int
+		want int
+	}{
+		{"it works on", http.StatusServiceUnavailable, 1},
+		{"it has no such run", http.StatusNotFound, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, paths := newPathRig(t)
+			var runs, moves, early atomic.Int32
+			for _, e := range r.engines {
+				e.Script = func(conn net.Conn, q *plat.Request) bool {
+					switch {
+					case q.URL.Path == movePath:
+						moves.Add(1)
+						plat.Reply(conn, q, tc.move, "", "")
+						return true
+					case q.Method != http.MethodPost || q.Attempt() != attempt:
+					case runs.Add(1) == 1:
+						_, _ = io.WriteString(conn, "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: "+attempt+"\r\nContent-Length: 100\r\n\r\n{")
+						time.Sleep(2 * time.Second) // works on
+						return true
+					case moves.Load() == 0:
+						early.Add(1)
+					}
+					return false
+				}
+			}
+			answers := make(chan reply, 1)
+			go func() { answers <- r.do(t, streamRequest("/note/x")) }()
+			eventually(t, "the request", func() bool { return len(r.received()) == 1 })
+			time.Sleep(100 * time.Millisecond)
+			for _, p := range paths {
+				p.breakConnections()
+			}
+			got := <-answers
+			assert.Equal(t, len(r.received()), tc.want, "backend servers that received the request")
+			assert.Equal(t, early.Load(), int32(0), "one received it before the run was asked to end")
+			if tc.want > 1 {
+				assert.Equal(t, got.text, fullStream(60))
+			}
+		})
+	}
+}
+
 // TestUnframedStreamThatIsAskedToEndDoesNotLookComplete guards against a stream that ends as it was asked to and passes for a whole one.
 func TestUnframedStreamThatIsAskedToEndDoesNotLookComplete(t *testing.T) {
 	for _, tc := range []struct {
@@ -138,6 +187,58 @@
 	assert.Equal(t, lost, 0, "streams lost of 4")
 }
 
+// TestCopyThatDoesNotGoOnIsFreed guards against copies that take an engine's memory until they expire, because a later step failed.
+func TestCopyThatDoesNotGoOnIsFreed(t *testing.T) {
+	for _, tc := range []struct {
+		name, path string
+		// keepsRun makes calls that end runs be refused.
+		keepsRun bool
+		// leaves makes the source leave, breaks its connections break.
+		leaves, breaks bool
+	}{
+		{"refused, the source leaves", "/report/x", false, true, false},
+		{"refused, made as the run ended", "/note/x", false, false, true},
+		{"the run has not ended", "/report/x", true, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, paths := newPathRig(t)
+			r.disableStandbyCopies()
+			for _, e := range r.engines {
+				e.IgnoresEnds = tc.breaks
+				e.Script = func(conn net.Conn, q *plat.Request) bool {
+					isRefused := q.ResumesRun() || tc.keepsRun && q.URL.Path == movePath && strings.Contains(q.Text, `"last":true`)
+					if isRefused {
+						plat.Reply(conn, q, http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n")
+					}
+					return isRefused
+				}
+			}
+			done := make(chan reply, 1)
+			go func() { done <- r.do(t, streamRequest(tc.path)) }()
+			source := r.runningEngine(t)
+			time.Sleep(200 * time.Millisecond)
+			i := r.index(source)
+			if tc.leaves {
+				r.putAt(i, paths[i].address(), true)
+				time.Sleep(200 * time.Millisecond)
+			}
+			if tc.breaks {
+				paths[i].breakConnections()
+			}
+			<-done
+			r.Wait(t.Context())
+			made := 0
+			for _, q := range source.Requests() {
+				if q.URL.Path == movePath {
+					made++
+				}
+			}
+			assert.Assert(t, made > 0)
+			assert.Equal(t, r.copies.Count(), 0, "copies left to expire")
+		})
+	}
+}
+
 // TestClosedPortIsNoProofWhileEventsCome guards against a second run beside one whose server only accepts no more connections.
 func TestClosedPortIsNoProofWhileEventsCome(t *testing.T) {
 	r, paths := newPathRig(t)
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -113,11 +113,21 @@
 	}()
 }
 
-// close cancels an upstream request, releases its lease and discards its copy.
+// discardOnDemand discards a copy that could not be used and was made on demand; a standby copy ends with its run.
+func (q *request) discardOnDemand(s *standby) {
+	if !s.copiedAt.IsZero() {
+		q.discard(s)
+	}
+}
+
+// close closes the connection of an upstream request, releases its lease and discards its copy.
 func (q *request) close(f *upstream) {
 	if f == nil {
 		return
 	}
+	if f.answer != nil {
+		f.answer.Close()
+	}
 	f.cancel()
 	f.lease.Release()
 	q.discard(f.standby)
@@ -156,12 +166,17 @@
 			q.addUnended(lease.Server)
 		}
 		q.close(f)
+		q.discard(&standby{claim: lease, copy: made})
 		return nil, nil, err
 	}
 	if answer.Status >= http.StatusMultipleChoices {
+		defer q.discard(&standby{claim: lease, copy: made})
 		defer q.close(f)
 		defer answer.Close()
 		full, err := q.readAnswer(ctx, lease, answer)
+		if err != nil {
+			q.addUnended(lease.Server)
+		}
 		return nil, full, err
 	}
 	f.answer, f.header, f.status, f.isUnframed = answer, answer.Header, answer.Status, answer.IsUnframed
