fix(front): an answer that finds no memory is no failure of its server

What callers would see: while a faulty server's answers hold the host's memory for answers, sound servers whose answers find none count as failed. Requests are sent past them, to other regions, although nothing is wrong with them.

Cause: an answer that was not read for want of memory was recorded like one that broke: as a failed answer for a body or a head, and for an event as a connection failure, which makes the server suspect and has it checked for a crash.

The three causes have errors of their own now (send.ErrNoMemory is new; such a head was called invalid HTTP), and the host records nothing for them, unless the answer's status states a failure of the server. A head that is too long where no memory is offered stays an invalid answer.

TestHeadsShareMemory asked for ErrInvalidAnswer of a head that finds no memory; it asks for ErrNoMemory now, and for no other mark.

--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -25,8 +25,10 @@
 		s.log.Info("run has ended", "server", broken.lease.Server.ID, "last_event", s.lastNumber, "took", time.Since(s.handover.endRequestedAt))
 		return s.replaceCurrent(cause)
 	}
-	broken.lease.RecordConnectionFailure(time.Now())
-	s.checkForCrash(broken.lease.Server)
+	if !hasNoMemory(cause) {
+		broken.lease.RecordConnectionFailure(time.Now())
+		s.checkForCrash(broken.lease.Server)
+	}
 	s.log.Info("stream broke", "server", broken.lease.Server.ID, "last_event", s.lastNumber, "silent_for", s.timing.sinceLast(time.Now()), "error", cause)
 	return s.replaceCurrent(cause)
 }
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -150,7 +150,9 @@
 		}
 		if err != nil {
 			q.account.Release(allowed - smallAnswerBytes)
-			lease.RecordAnswer(true, time.Now())
+			if isFailure := answer.Status >= http.StatusInternalServerError; isFailure || !hasNoMemory(err) {
+				lease.RecordAnswer(true, time.Now())
+			}
 			return nil, errors.Mark(errors.Wrapf(err, "read %d bytes of an answer", size), send.ErrBroken)
 		}
 	}
@@ -161,7 +163,7 @@
 	waitCtx, cancel := context.WithTimeout(ctx, maxMemoryWait)
 	defer cancel()
 	if !q.account.acquire(waitCtx, int64(bytes)) {
-		return errors.New("other answers take the host's memory for answers")
+		return errNoMemory
 	}
 	return nil
 }
@@ -243,9 +245,11 @@
 	if ctx.Err() != nil {
 		return err
 	}
-	if errors.Is(err, send.ErrInvalidAnswer) {
+	switch {
+	case hasNoMemory(err):
+	case errors.Is(err, send.ErrInvalidAnswer):
 		lease.RecordAnswer(true, time.Now())
-	} else {
+	default:
 		lease.RecordConnectionFailure(time.Now())
 	}
 	if errors.Is(err, send.ErrBroken) {
--- a/internal/send/memory_test.go
+++ b/internal/send/memory_test.go
@@ -44,7 +44,7 @@
 			p := &pool{left: tc.memory}
 			answer, err := Open(t.Context(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h", Memory: p})
 			if tc.isRefused {
-				assert.Assert(t, errors.Is(err, ErrInvalidAnswer), "%v", err)
+				assert.Assert(t, errors.Is(err, ErrNoMemory) && !errors.IsAny(err, ErrInvalidAnswer, ErrBroken, ErrNotSent), "%v", err)
 				assert.Equal(t, p.left, tc.memory, "the memory is free again")
 				return
 			}
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -23,6 +23,8 @@
 	ErrBroken = errors.New("connection to the backend server broke")
 	// ErrInvalidAnswer says that the backend server's answer is not valid HTTP.
 	ErrInvalidAnswer = errors.New("answer is not valid HTTP")
+	// ErrNoMemory says that a long head of an answer found no memory in Request.Memory.
+	ErrNoMemory = errors.New("no memory for a long head")
 )
 
 // The limits of one connection.
@@ -126,7 +128,7 @@
 }
 
 // Send sends a request and reads the status and headers of its answer. When ctx ends, even while the body is read, the connection
-// is closed. Errors are marked ErrBroken or ErrInvalidAnswer.
+// is closed. Errors are marked ErrBroken, ErrInvalidAnswer or ErrNoMemory.
 func (c *Conn) Send(ctx context.Context, r *Request) (*Answer, error) {
 	stopAfterFunc := context.AfterFunc(ctx, c.Close)
 	answer, err := exchange(c.conn, r)
@@ -192,8 +194,8 @@
 	if r.left <= 0 {
 		return 0, errors.Newf("head of the answer exceeds %d bytes", maxHeadBytes)
 	}
-	if !r.take() {
-		return 0, errors.Newf("no memory for a head of more than %d bytes", maxHeadBytes-r.left)
+	if err := r.take(); err != nil {
+		return 0, err
 	}
 	n, err := r.conn.Read(p[:min(len(p), r.left, headReadBytes)])
 	r.left -= n
@@ -202,16 +204,18 @@
 }
 
 // take takes memory for what has been read.
-func (r *headReader) take() bool {
+func (r *headReader) take() error {
 	more := r.cost - smallHeadBytes - r.taken
-	if more <= 0 {
-		return true
-	}
-	if r.memory == nil || !r.memory.Take(more) {
-		return false
+	switch {
+	case more <= 0:
+		return nil
+	case r.memory == nil:
+		return errors.Newf("head of the answer takes more than %d bytes", smallHeadBytes)
+	case !r.memory.Take(more):
+		return errors.Wrapf(ErrNoMemory, "after %d bytes", maxHeadBytes-r.left)
 	}
 	r.taken += more
-	return true
+	return nil
 }
 
 func (r *headReader) release() {
@@ -220,8 +224,11 @@
 	}
 }
 
-// readError marks an error as ErrBroken if the connection failed, else as ErrInvalidAnswer.
+// readError marks an error as ErrBroken if the connection failed, else as ErrInvalidAnswer unless it is ErrNoMemory.
 func readError(err error) error {
+	if errors.Is(err, ErrNoMemory) {
+		return errors.Wrap(err, "read answer")
+	}
 	var netErr net.Error
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || errors.Is(err, net.ErrClosed) {
 		return errors.Mark(errors.Wrap(err, "read answer"), ErrBroken)
