fix(front): a copy that never ends holds up its migration no longer than engines keep copies

What callers would see: a stream is cut when its engine leaves, although the notice left time for another copy.

Cause: a call for a copy on demand had no time limit but its request's, up to a minute. An engine that answers it byte by byte, or not at all while its connection lives, kept the copying goroutine, and until that ended the stream was neither copied again nor migrated, also not to a copy that it had. Ending and freeing calls have limits of their own (moveTimeout, freeTimeout).

Evidence: TestCopyThatNeverEndsHoldsUpItsMigration failed on the code before in all four rows: the head trickles, the body trickles, the body stops, silence.

The call now ends after the time for which engines keep a copy, which the routing table states (Engine.CopyTTL), or 5 s if it states none: a copy that takes longer is of no use. The limit is not that of calls that end a run, 1.2 s, because copies wait for each other on an engine's link (1.4 s for five runs, twice that between failure domains), and ending sound ones would lose runs. So a faulty copy within a notice shorter than the limit still costs the run. A session that ends still ends its copy's call first.

Runs with the race detector: the test passed three times. The whole package failed once in a run while the machine's load was above 100, in TestManyAnswersDoNotExceedTheHostsMemory (large events: 23 MiB held, still sending after 3 s) and TestLargeAnswersWaitForMemory (many: 14 of 40 answers waited longer than 0.6 s); both then passed three times here and on the code before, and the whole package passed. Neither calls for copies. Not traced further.

--- a/internal/front/copy.go
+++ b/internal/front/copy.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -12,6 +13,8 @@
 	copyRetryDelay = 60 * time.Millisecond
 	// copyRefreshAge is the age at which a precautionary copy is refreshed. Engines drop copies after about 5 s.
 	copyRefreshAge = 3 * time.Second
+	// defaultCopyTTL is how long engines keep a copy if the table does not state it.
+	defaultCopyTTL = 5 * time.Second
 )
 
 // copyResult is the result of a copy on demand.
@@ -95,8 +98,15 @@
 		"pending", sb.claim.LoadBefore.PendingPromptTokens, "last_event", s.lastNumber)
 	s.isCopying = true
 	s.Pool.Sent(server.ID)
+	// A copy that takes longer than engines keep one is of no use.
+	limit := s.service.Engine.CopyTTL
+	if limit <= 0 {
+		limit = defaultCopyTTL
+	}
 	go func() {
-		made, err := s.Copies.Copy(s.ctx, server.Address, s.ID, sb.claim.Server.Address)
+		ctx, cancel := context.WithTimeout(s.ctx, limit)
+		defer cancel()
+		made, err := s.Copies.Copy(ctx, server.Address, s.ID, sb.claim.Server.Address)
 		s.copyResults <- copyResult{standby: sb, newCopy: made, copiedAt: time.Now(), server: server.ID, err: err}
 	}()
 }
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -1,12 +1,17 @@
 package front_test
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 )
@@ -79,6 +84,70 @@
 	assert.Equal(t, got.text, fullStream(60))
 }
 
+// TestCopyThatNeverEndsHoldsUpItsMigration guards against an engine that begins to answer a call for a copy and never comes to an end,
+// so that the run gets no other copy before the engine leaves.
+func TestCopyThatNeverEndsHoldsUpItsMigration(t *testing.T) {
+	for _, tc := range []struct{ name, head, part string }{
+		{"head trickles", "HTTP/1.1 200 OK\r\n", "A"},
+		{"body trickles", "HTTP/1.1 200 OK\r\n\r\n", " "},
+		{"body stops", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{", ""},
+		{"silence", "", ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 5)
+			r.Pool.Notices = r.notices
+			next := table()
+			next.Version = 2
+			next.Services["model"].Engine.SupportsStandby, next.Services["model"].Engine.CopyTTL = false, 500*time.Millisecond
+			r.Tables.PutIfNewer(next)
+			var copies atomic.Int64
+			closed := make(chan error, 1)
+			for _, e := range r.engines {
+				e.Events, e.Pause = 100, 25*time.Millisecond
+				e.Script = func(conn net.Conn, q *plat.Request) bool {
+					if !strings.HasPrefix(q.URL.Path, "/tarragonspur/kv-move") || copies.Add(1) > 1 {
+						return false
+					}
+					_, err := io.WriteString(conn, tc.head)
+					for err == nil {
+						time.Sleep(10 * time.Millisecond)
+						if tc.part == "" {
+							_, err = conn.Read(make([]byte, 1))
+						} else {
+							_, err = io.WriteString(conn, tc.part)
+						}
+					}
+					closed <- err
+					return true
+				}
+			}
+			ended := make(chan reply, 1)
+			go func() {
+				request := streamRequest("/report/x")
+				request.headers["Deadline-Ms"] = "10000"
+				ended <- r.do(t, request)
+			}()
+			time.Sleep(200 * time.Millisecond)
+			var source *plat.Server
+			for _, e := range r.engines {
+				if e.InProgress() > 0 {
+					source = e
+				}
+			}
+			server, found := r.Pool.ServerAt(source.Address())
+			assert.Assert(t, found)
+			r.notices.Heard(notice.Server{ID: server.ID, Service: server.Service}, notice.Statement{IsLeaving: true})
+			time.AfterFunc(1500*time.Millisecond, source.Crash)
+			got := <-ended
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.text, fullStream(100))
+			assert.Assert(t, <-closed != nil, "the connection is closed")
+			assert.Assert(t, copies.Load() > 1)
+		})
+	}
+}
+
 // TestAnotherInstanceSpeaksOfItself checks answers of a server that has got the address of another one.
 func TestAnotherInstanceSpeaksOfItself(t *testing.T) {
 	for _, headers := range []string{"", "Instance-Id: other\r\n"} {
