refactor(memory): the memory that requests share in a package of its own

The accounts of front's answers and bodies move to internal/memory as they are, so that the product's own interface can use them too.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,64 +21,6 @@
 	maxBodyWait = 600 * time.Millisecond
 )
 
-// memory bounds the bytes of large request bodies, or of large answers, that the host holds.
-type memory struct {
-	mu   sync.Mutex
-	held int64
-	// released is closed at the next release; nil if none is awaited.
-	released chan struct{}
-}
-
-// acquire takes a number of bytes within a limit, and waits for them until ctx ends; a limit of 0 means none. Where nothing else is
-// held, a body may exceed the limit.
-func (m *memory) acquire(ctx context.Context, bytes, limit int64) bool {
-	for {
-		m.mu.Lock()
-		if m.takeLocked(bytes, limit) {
-			m.mu.Unlock()
-			return true
-		}
-		if m.released == nil {
-			m.released = make(chan struct{})
-		}
-		released := m.released
-		m.mu.Unlock()
-		select {
-		case <-released:
-		case <-ctx.Done():
-			return false
-		}
-	}
-}
-
-// take is an acquire that does not wait.
-func (m *memory) take(bytes, limit int64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.takeLocked(bytes, limit)
-}
-
-func (m *memory) takeLocked(bytes, limit int64) bool {
-	if limit > 0 && m.held > 0 && m.held+bytes > limit {
-		return false
-	}
-	m.held += bytes
-	return true
-}
-
-func (m *memory) release(bytes int64) {
-	if bytes == 0 {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.held -= bytes
-	if m.released != nil {
-		close(m.released)
-		m.released = nil
-	}
-}
-
 // readBody reads the request's body. Large bodies wait for memory for a moment and are refused if none is free. Its errors are
 // refusals.
 func (q *request) readBody(ctx context.Context, r *http.Request, limits policy.Limits) error {
@@ -135,7 +76,7 @@
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, min(maxBodyWait, time.Until(q.deadline)/3))
 	defer cancel()
-	if !q.bodies.acquire(waitCtx, rest, q.MaxBodiesBytes) {
+	if !q.bodies.Acquire(waitCtx, rest, q.MaxBodiesBytes) {
 		return retryable(refuse.CodeOverloaded, "the bodies of other requests take the host's memory")
 	}
 	q.bodyBytes = rest
@@ -147,7 +88,7 @@
 	}
 	tail, err := io.ReadAll(body)
 	q.body = append(head, tail...)
-	q.bodies.release(rest - int64(len(tail)))
+	q.bodies.Release(rest - int64(len(tail)))
 	q.bodyBytes = int64(len(tail))
 	return err
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/memory"
 	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
@@ -79,8 +80,8 @@
 	// stop is set while the host is stopping.
 	stop    atomic.Pointer[stop]
 	aborts  aborts
-	bodies  memory
-	answers memory
+	bodies  memory.Pool
+	answers memory.Pool
 	active  active
 }
 
@@ -99,7 +100,7 @@
 	// bodyBytes is what the body takes of the memory for bodies.
 	bodyBytes int64
 	// account is what its answers take of the memory for answers.
-	account   *account
+	account   *memory.Account
 	route     *policy.Route
 	service   *policy.Service
 	workspace *policy.Workspace
@@ -134,10 +135,10 @@
 		method: r.Method, target: r.RequestURI, host: r.Host,
 		account: f.answerAccount(), log: f.Log.With("request", call.ID),
 	}
-	defer q.account.close()
+	defer q.account.Close()
 	ctx, release := q.abortable(r.Context())
 	defer release()
-	defer func() { q.bodies.release(q.bodyBytes) }()
+	defer func() { q.bodies.Release(q.bodyBytes) }()
 	if err := q.admit(ctx, r); err != nil {
 		q.fail(err)
 		return
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -162,7 +162,7 @@
 func (q *request) waitForMemory(ctx context.Context, bytes int) error {
 	waitCtx, cancel := context.WithTimeout(ctx, maxMemoryWait)
 	defer cancel()
-	if !q.account.acquire(waitCtx, int64(bytes)) {
+	if !q.account.Acquire(waitCtx, bytes) {
 		return errNoMemory
 	}
 	return nil
