fix(call): answers to all plain calls together take a bounded part of a host's memory

What callers would see: faulty servers of plain services that answer without end, or large answers to callers that read slowly, make the host run out of memory; the requests of all callers at that host end with it.

Cause: one answer was bounded by 16 MiB, all of them together were not, from their first byte until their callers had them.

An answer's buffer beyond 16 KiB is now taken from the memory that all answers of the host share, 64 MiB, until its caller has it.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/memory"
 	"github.com/tarragonspur/tarragonspur/internal/sched"
 )
 
@@ -98,6 +99,8 @@
 	FirstSending bool
 	// Deadline bounds the call as a whole.
 	Deadline time.Time
+	// Memory is what the answer's bytes are taken from, beyond the first of them, until the caller closes it; nil means no bound.
+	Memory *memory.Account
 }
 
 // Answer is a backend server's complete answer.
--- a/internal/call/guard.go
+++ b/internal/call/guard.go
@@ -57,7 +57,7 @@
 	switch {
 	case s.Event == EventAnswered:
 		run.Ended(true)
-	case s.Event != EventLost, isContextError(s.Err), errors.Is(s.Err, ErrAnswerTooLarge), s.Err == nil:
+	case s.Event != EventLost, isContextError(s.Err), errors.IsAny(s.Err, ErrAnswerTooLarge, ErrNoMemory), s.Err == nil:
 		run.Ended(false)
 	default:
 		run.Died()
--- a/internal/call/run.go
+++ b/internal/call/run.go
@@ -300,6 +300,8 @@
 	switch {
 	case errors.Is(s.Err, ErrAnswerTooLarge):
 		e.Code, e.Message, e.RetryAfter = refuse.CodeAnswerTooLarge, "the answer is larger than the limit", 0
+	case errors.Is(s.Err, ErrNoMemory):
+		e.Code, e.Message = refuse.CodeInterrupted, ErrNoMemory.Error()
 	case s.Event == EventUnreachable:
 		e.Code, e.Message = refuse.CodeNoBackend, "the backend server can't be reached"
 	case s.Event == EventRefused:
@@ -317,6 +319,8 @@
 		return sched.ResultOK
 	case s.Event == EventRefused:
 		return sched.ResultRefused
+	case errors.Is(s.Err, ErrNoMemory):
+		return sched.ResultCancelled
 	case isContextError(s.Err) && took < failureThreshold(s.Event):
 		// A short deadline of the caller says nothing about the backend server's health.
 		return sched.ResultCancelled
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -15,6 +15,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/board"
 	"github.com/tarragonspur/tarragonspur/internal/call"
 	"github.com/tarragonspur/tarragonspur/internal/engine"
+	"github.com/tarragonspur/tarragonspur/internal/memory"
 	"github.com/tarragonspur/tarragonspur/internal/metric"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
 	"github.com/tarragonspur/tarragonspur/internal/relay"
@@ -53,10 +54,13 @@
 	Relay  Relayer
 	Calls  CallRunner
 	// Demand may be nil; then requests for adapters are not counted.
-	Demand  Demand
-	Limits  config.Limits
-	Metrics *metric.Set
-	Log     *slog.Logger
+	Demand Demand
+	Limits config.Limits
+	// Answers is what the answers to plain calls take memory from, of which AnswersBytes may be held; nil means no bound.
+	Answers      *memory.Pool
+	AnswersBytes int64
+	Metrics      *metric.Set
+	Log          *slog.Logger
 }
 
 // Handler returns the HTTP handler of the API.
--- a/internal/entry/api_test.go
+++ b/internal/entry/api_test.go
@@ -70,6 +70,14 @@
 
 // serve starts the API with the script as its back end.
 func serve(t *testing.T, s *script, limits config.Limits) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(newAPI(t, s, calls{s}, limits).Handler())
+	t.Cleanup(server.Close)
+	return server
+}
+
+// newAPI returns an API with the given back ends.
+func newAPI(t *testing.T, relayer entry.Relayer, runner entry.CallRunner, limits config.Limits) *entry.API {
 	t.Helper()
 	addr := netip.MustParseAddrPort("127.0.0.1:9")
 	table := config.Table{
@@ -93,10 +101,7 @@
 	b.Process.SetReady()
 	metrics, err := metric.New()
 	assert.NilError(t, err)
-	e := &entry.API{Board: b, Relay: s, Calls: calls{s}, Limits: limits, Metrics: metrics, Log: slog.New(slog.DiscardHandler)}
-	server := httptest.NewServer(e.Handler())
-	t.Cleanup(server.Close)
-	return server
+	return &entry.API{Board: b, Relay: relayer, Calls: runner, Limits: limits, Metrics: metrics, Log: slog.New(slog.DiscardHandler)}
 }
 
 func limits() config.Limits {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -36,6 +36,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
+	if e.Answers != nil {
+		c.Memory = e.Answers.NewAccount(e.AnswersBytes)
+		defer c.Memory.Close()
+	}
 	use := e.Board.Usage.Open(board.RowKey{Workspace: who.workspace, Service: c.Place.Service})
 	answer, err := e.Calls.Run(ctx, c)
 	if err == nil {
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -22,6 +22,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/idem"
 	"github.com/tarragonspur/tarragonspur/internal/lease"
 	"github.com/tarragonspur/tarragonspur/internal/member"
+	"github.com/tarragonspur/tarragonspur/internal/memory"
 	"github.com/tarragonspur/tarragonspur/internal/metric"
 	"github.com/tarragonspur/tarragonspur/internal/order"
 	"github.com/tarragonspur/tarragonspur/internal/peer"
@@ -36,10 +37,14 @@
 	"github.com/tarragonspur/tarragonspur/pkg/config"
 )
 
+// answersBytes bounds the bytes of all answers of backend servers that the host holds, except the first of each.
+const answersBytes = 64 << 20
+
 // constructors lists the constructors of all components of a host.
 var constructors = [...]any{
 	newBoard,
 	newSender,
+	newAnswers,
 	newCertificateSource,
 	newStore,
 	newPeerClient,
@@ -97,6 +102,9 @@
 
 func newBoard() *board.Board { return &board.Board{} }
 
+// newAnswers returns what all answers of backend servers take memory from.
+func newAnswers() *memory.Pool { return &memory.Pool{} }
+
 func newSender(s config.Settings) peer.Sender {
 	return peer.Sender{Host: s.Host, Incarnation: uint64(time.Now().UnixNano()), Domain: s.Domain}
 }
@@ -264,8 +272,8 @@
 	return &idem.Sweeper{Registry: k, Lister: st, Board: b, Log: log}
 }
 
-func newAPI(b *board.Board, r *relay.Relay, c *call.Runner, d *order.Demand, s config.Settings, m *metric.Set, log *slog.Logger) *entry.API {
-	return &entry.API{Board: b, Domain: s.Domain, Relay: r, Calls: c, Demand: d, Limits: s.Limits, Metrics: m, Log: log}
+func newAPI(b *board.Board, r *relay.Relay, c *call.Runner, d *order.Demand, answers *memory.Pool, s config.Settings, m *metric.Set, log *slog.Logger) *entry.API {
+	return &entry.API{Board: b, Domain: s.Domain, Relay: r, Calls: c, Demand: d, Answers: answers, AnswersBytes: answersBytes, Limits: s.Limits, Metrics: m, Log: log}
 }
 
 func newAdmin(b *board.Board, st *store.Client, c *commit.Committer, sv *survey.Survey, s config.Settings, log *slog.Logger) *admin.Admin {
