fix(engine): long frames of all streams together take a bounded part of a host's memory

What callers would see: faulty engines that send a frame without end make the host run out of memory; the requests of all callers at that host end with it.

Cause: one frame was bounded by 1 MiB, all streams together were not, and a buffer once grown stayed for the rest of its stream.

Frames are read by flow.Reader, as events are on the users' platform: a buffer beyond 16 KiB is taken from the memory that all answers of the host share, and released when it is empty. A stream that finds none is broken like one whose frame is too long: it is resumed or probed, and its caller learns what was delivered. Sound frames are shorter and take none.

Reading the last line without its line break stays allowed.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonspur/tarragonspur/internal/flow"
 )
 
 const (
@@ -22,6 +24,7 @@
 	idleTimeout = 30 * time.Second
 	// drainLimit bounds the wait for the end of an answer's body after its last frame.
 	drainLimit        = 100 * time.Millisecond
+	maxDrainBytes     = 1 << 20
 	maxIdlePerBackend = 64
 	// keepAliveIdle and keepAliveCount make TCP keep-alive close a dead connection after four seconds.
 	keepAliveIdle   = time.Second
@@ -40,6 +43,9 @@
 // Each engine has a pool of connections for starting generations, orders and reading reports. Calls that follow a
 // failure (resume, cancel, progress) each use a new connection: a pooled one may be broken like the one that failed.
 type Client struct {
+	// Memory is what streams take long frames from; nil means no bound.
+	Memory flow.Memory
+
 	unpooled *http.Client
 
 	mu    sync.Mutex
@@ -105,13 +111,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode request")
 	}
-	return open(ctx, c.pool(addr), http.MethodPost, requestURL(addr, pathGenerations, nil), body)
+	return c.open(ctx, c.pool(addr), http.MethodPost, requestURL(addr, pathGenerations, nil), body)
 }
 
 // Resume streams the rest of a generation from an offset in tokens; ErrGone means that the engine does not have it.
 func (c *Client) Resume(ctx context.Context, addr netip.AddrPort, id, generation string, offset int) (Stream, error) {
 	query := url.Values{"generation": {generation}, "offset": {strconv.Itoa(offset)}}
-	return open(ctx, c.unpooled, http.MethodGet, requestURL(addr, pathGenerations+"/"+url.PathEscape(id)+"/stream", query), nil)
+	return c.open(ctx, c.unpooled, http.MethodGet, requestURL(addr, pathGenerations+"/"+url.PathEscape(id)+"/stream", query), nil)
 }
 
 // Cancel ends the request's generation; it is idempotent. Once it has returned nil or ErrGone, the engine does not run the
@@ -218,14 +224,16 @@
 	}
 }
 
-func open(ctx context.Context, client *http.Client, method, target string, body []byte) (Stream, error) {
+func (c *Client) open(ctx context.Context, client *http.Client, method, target string, body []byte) (Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	resp, err := send(ctx, client, method, target, bytes.NewReader(body)) //nolint:bodyclose // stream.Close closes it.
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	return &stream{Decoder: NewDecoder(resp.Body), body: resp.Body, cancel: cancel}, nil
+	decoder := NewDecoder(resp.Body)
+	decoder.lines.Memory = c.Memory
+	return &stream{Decoder: decoder, body: resp.Body, cancel: cancel}, nil
 }
 
 // stream decodes an answer's body as it arrives.
@@ -239,9 +247,10 @@
 func (s *stream) Close() {
 	if s.ended {
 		timer := time.AfterFunc(drainLimit, s.cancel)
-		_, _ = io.Copy(io.Discard, io.LimitReader(s.body, maxLineBytes))
+		_, _ = io.Copy(io.Discard, io.LimitReader(s.body, maxDrainBytes))
 		timer.Stop()
 	}
 	s.cancel()
 	_ = s.body.Close()
+	s.lines.Close()
 }
--- a/internal/engine/decode.go
+++ b/internal/engine/decode.go
@@ -1,29 +1,24 @@
 package engine
 
 import (
-	"bufio"
+	"bytes"
 	"encoding/json"
 	"io"
 
 	"github.com/cockroachdb/errors"
-)
 
-const (
-	firstLineBytes = 4 << 10
-	maxLineBytes   = 1 << 20
+	"github.com/tarragonspur/tarragonspur/internal/flow"
 )
 
 // Decoder reads the frames of one stream, one JSON object per line of at most 1 MiB.
 type Decoder struct {
-	lines *bufio.Scanner
+	lines flow.Reader
 	ended bool
 }
 
 // NewDecoder returns a decoder that reads a stream from r.
 func NewDecoder(r io.Reader) *Decoder {
-	s := bufio.NewScanner(r)
-	s.Buffer(make([]byte, 0, firstLineBytes), maxLineBytes)
-	return &Decoder{lines: s}
+	return &Decoder{lines: flow.Reader{Body: r, HasLines: true}}
 }
 
 // Next returns the next frame. It returns io.EOF after the frame that has Finish set, and an error marked
@@ -32,16 +27,18 @@
 	if d.ended {
 		return Frame{}, io.EOF
 	}
-	for d.lines.Scan() {
-		if len(d.lines.Bytes()) > 0 {
-			return d.frame(d.lines.Bytes())
+	for {
+		line, err := d.lines.Next()
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return Frame{}, errors.Mark(errors.Wrap(err, "read frame"), ErrBroken)
+		}
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 {
+			return d.frame(line)
 		}
 	}
-	err := d.lines.Err()
-	if err == nil {
-		err = io.ErrUnexpectedEOF
-	}
-	return Frame{}, errors.Mark(errors.Wrap(err, "read frame"), ErrBroken)
 }
 
 func (d *Decoder) frame(line []byte) (Frame, error) {
--- a/internal/engine/decode_test.go
+++ b/internal/engine/decode_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -70,3 +71,25 @@
 		assert.Equal(t, errors.Is(err, io.EOF) && !errors.Is(err, engine.ErrBroken), finished)
 	})
 }
+
+// TestDecoderReadsFramesOfAnySize checks frames around the sizes at which buffers grow, with each kind of line break.
+func TestDecoderReadsFramesOfAnySize(t *testing.T) {
+	const maxFrameBytes = 1 << 20
+	for _, lineBreak := range []string{"\n", "\r\n", "\n\n"} {
+		var text strings.Builder
+		var sizes []int
+		for _, size := range []int{0, 1, 4 << 10, 5 << 10, 16 << 10, 100 << 10, 2, maxFrameBytes - 200, 3} {
+			sizes = append(sizes, size)
+			text.WriteString(`{"request":"r","generation":"g","offset":0,"token":"` + strings.Repeat("x", size) + `"}` + lineBreak)
+		}
+		text.WriteString(`{"request":"r","generation":"g","offset":0,"finish":"stop"}`)
+		for _, body := range []io.Reader{strings.NewReader(text.String()), iotest.HalfReader(strings.NewReader(text.String()))} {
+			frames, err := readAll(engine.NewDecoder(body))
+			assert.Assert(t, errors.Is(err, io.EOF) && !errors.Is(err, engine.ErrBroken), "%v", err)
+			assert.Equal(t, len(frames), len(sizes)+1)
+			for i, size := range sizes {
+				assert.Equal(t, len(frames[i].Token), size)
+			}
+		}
+	}
+}
--- a/internal/flow/event.go
+++ b/internal/flow/event.go
@@ -35,6 +35,8 @@
 // Reader splits a body into complete events. An event ends with an empty line.
 type Reader struct {
 	Body io.Reader
+	// HasLines says that each line is an event, the last one also without a line break.
+	HasLines bool
 	// Memory is where the buffer for large events is taken from; nil means no bound.
 	Memory Memory
 
@@ -66,7 +68,13 @@
 			return event, nil
 		}
 		if r.err != nil {
-			if errors.Is(r.err, io.EOF) && r.start < len(r.buf) {
+			isEOF := errors.Is(r.err, io.EOF) && r.start < len(r.buf)
+			switch {
+			case isEOF && r.HasLines:
+				event := r.buf[r.start:]
+				r.start, r.scanned = len(r.buf), len(r.buf)
+				return event, nil
+			case isEOF:
 				return nil, io.ErrUnexpectedEOF
 			}
 			return nil, r.err
@@ -80,6 +88,9 @@
 
 // end returns the index after the next event in the buffer, or 0 if the event is incomplete.
 func (r *Reader) end() int {
+	if r.HasLines {
+		return r.lineEnd()
+	}
 	from := max(r.start, r.scanned-3)
 	best := 0
 	for _, delimiter := range [...]string{"\n\n", "\n\r\n"} {
@@ -93,6 +104,16 @@
 	return best
 }
 
+// lineEnd is end for lines.
+func (r *Reader) lineEnd() int {
+	from := max(r.start, r.scanned)
+	if i := bytes.IndexByte(r.buf[from:], '\n'); i >= 0 {
+		return from + i + 1
+	}
+	r.scanned = len(r.buf)
+	return 0
+}
+
 // fill reads once from the body into the buffer, which it compacts and grows as needed.
 func (r *Reader) fill() {
 	switch {
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -51,7 +51,7 @@
 	newPeerServer,
 	newOutbox,
 	newReceivers,
-	engine.NewClient,
+	newEngineClient,
 	metric.New,
 	newMember,
 	newGrants,
@@ -105,6 +105,12 @@
 // newAnswers returns what all answers of backend servers take memory from.
 func newAnswers() *memory.Pool { return &memory.Pool{} }
 
+func newEngineClient(answers *memory.Pool) *engine.Client {
+	c := engine.NewClient()
+	c.Memory = answers.NewAccount(answersBytes)
+	return c
+}
+
 func newSender(s config.Settings) peer.Sender {
 	return peer.Sender{Host: s.Host, Incarnation: uint64(time.Now().UnixNano()), Domain: s.Domain}
 }
