test(front): a leaving server that exits after its last run is no evidence

Question: a server that crashes between the end of the host's side of its connection and the end of its own, at a migration, is taken to have ended the run, so that a prompt that kills it isn't counted.

Found: it can happen where the crash shows as a proper end of the connection, in the time between the two ends. A crash that resets the connection is counted (row 'crashes'). The other kind looks the same as a leaving server that ends the run, its last one, and exits: the probe finds a closed port in both cases.

The code stays as it is: a prompt that kills counts where it kills next.

--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -274,3 +274,44 @@
 		})
 	}
 }
+
+// TestLeavingServerThatExitsAfterItsRunsIsNoEvidence guards against crashes that are counted because a server which leaves closes its port
+// soon after its last run has ended, beside those that are shown by a reset connection.
+func TestLeavingServerThatExitsAfterItsRunsIsNoEvidence(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// crashes makes the server crash as its connection should end, in place of an exit after that.
+		crashes bool
+	}{{"exits", false}, {"crashes", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 4)
+			r.disableStandbyCopies()
+			for _, e := range r.engines {
+				e.Events, e.Pause, e.IgnoresEnds = 60, 20*time.Millisecond, tc.crashes
+			}
+			ask := streamRequest("/report/x")
+			ask.headers["Prefix-Hash"] = "aa:40"
+			done := make(chan reply, 1)
+			go func() { done <- r.do(t, ask) }()
+			source := r.runningEngine(t)
+			time.Sleep(100 * time.Millisecond)
+			r.put(r.index(source), true)
+			if tc.crashes {
+				time.Sleep(150 * time.Millisecond) // it ignores the end of the request
+			} else {
+				eventually(t, "the runs to end", func() bool { return source.InProgress() == 0 })
+				time.Sleep(5 * time.Millisecond)
+			}
+			source.Crash()
+			time.Sleep(150 * time.Millisecond)
+			crashes := 0
+			for _, e := range r.guard.Report() {
+				crashes += len(e.Crashes)
+			}
+			assert.Equal(t, crashes > 0, tc.crashes)
+			got := <-done
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.text, fullStream(60))
+		})
+	}
+}
