fix(front): connections that can't be made take no retries of a stream

Seen: a stream that any server may resume was cut although a server could have taken it, because the retry budget allowed one more send and the first server that was chosen could not be reached.

Cause: a stream takes a retry from the budget before each try to go on elsewhere, also where the one before reached no server. Retries before the first event are free in this case, since nothing was sent.

Why it works: a stream takes the next retry only once a server has received the request since it took the last one; maxResumes bounds the tries as before.

Left as it is: a try that a server received and refused takes a retry, before the first event too. The budget bounds what servers receive, whatever they answer.

--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -95,7 +95,7 @@
 
 // migrateTo connects to the backend server of a copy.
 func (s *session) migrateTo(sb *standby, from string) {
-	if !s.Budget.Allow(s.service.Name, true) {
+	if !s.allowResume() {
 		s.log.Info("live migration skipped: the retry budget is exhausted", "server", from)
 		s.discard(sb)
 		return
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -84,7 +84,7 @@
 		if wait := s.Pool.WaitToResume(sb.claim.Server.ID); wait > 0 && wait <= maxResumeWait {
 			ticks.Sleep(s.ctx, wait)
 		}
-		if !s.Budget.Allow(s.service.Name, true) {
+		if !s.allowResume() {
 			s.discard(sb)
 			return nil, errors.New("the retry budget is exhausted")
 		}
@@ -99,7 +99,7 @@
 			return nil, err
 		}
 	}
-	if !s.started || !s.route.Resumable || int(s.runs.Load()) >= s.route.MaxAttempts || !s.Budget.Allow(s.service.Name, true) {
+	if !s.started || !s.route.Resumable || int(s.runs.Load()) >= s.route.MaxAttempts || !s.allowResume() {
 		return nil, errors.New("no copy to resume from")
 	}
 	answer, err := s.startRun()
@@ -117,6 +117,20 @@
 	return f, err
 }
 
+// allowResume takes a retry from the budget for the next send, unless no backend server has received the request since it took the last
+// one.
+func (s *session) allowResume() bool {
+	sends := s.sends.Load()
+	if s.paidSends == sends {
+		return true
+	}
+	if !s.Budget.Allow(s.service.Name, true) {
+		return false
+	}
+	s.paidSends = sends
+	return true
+}
+
 // resumeFromCopy connects to the backend server of a copy and resumes the run there.
 func (s *session) resumeFromCopy(sb *standby) (*upstream, error) {
 	claimed, err := s.claimCopy(sb)
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -55,7 +55,9 @@
 	// isSound is set once a backend server has gone on with the answer long enough not to have crashed under the request.
 	isSound bool
 	resumes int
-	timing  eventTiming
+	// paidSends is the number of sends at which the last retry was taken from the budget.
+	paidSends int32
+	timing    eventTiming
 }
 
 // stream answers a request with a stream of events.
