--- a/internal/notice/hosts_test.go
+++ b/internal/notice/hosts_test.go
@@ -17,6 +17,8 @@
 	now    time.Duration
 	limit  float64
 	hosts  []*simHost
+	// relay merges what hosts report, for all of them.
+	relay *Table
 	// live is the number of hosts, seen their requests a second, as of the last digests.
 	live int
 	seen float64
@@ -56,6 +58,7 @@
 
 func newHostsSim(seed uint64, hosts int, limit, demand float64) *hostsSim {
 	s := &hostsSim{random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, limit: limit}
+	s.relay = &Table{Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return s.now }}
 	for i := range hosts {
 		h := &simHost{Host: fmt.Sprintf("h%03d", i), demand: demand / float64(hosts)}
 		h.expect(s.now)
@@ -91,11 +94,12 @@
 		h.seen, h.rank = float64(count(h.arrivals, s.now-simCounted)), s.live
 		s.seen += h.seen / 10
 		s.live++
-		reports := h.Report()
-		for _, o := range s.hosts {
-			if !o.isDown {
-				o.Merge("", reports)
-			}
+		s.relay.Merge(h.Host, h.Report())
+	}
+	reports := s.relay.Report()
+	for _, h := range s.hosts {
+		if !h.isDown {
+			h.Merge("relay", reports)
 		}
 	}
 }
