--- a/internal/notice/faults_test.go
+++ b/internal/notice/faults_test.go
@@ -193,7 +193,7 @@
 	assert.Check(t, float64(got) >= 0.9*needed, "seed %d: %d requests of %.0f that the limits leave are served", seed, got, needed)
 }
 
-// TestLeavingServersGetNoRequestsWithFaults checks that a host sends nothing to a server later than drainTimeout after it was told that
+// TestLeavingServersGetNoRequestsWithFaults checks that a host sends nothing to a server later than drainTimeout after an answer that says that
 // the server leaves, and that hosts in touch learn it from each other.
 func TestLeavingServersGetNoRequestsWithFaults(t *testing.T) {
 	for _, hosts := range []int{7, 83, 295} {
