fix(front): no migration begins while a path check may end its run

Cause: a migration could begin during a path check. If another host ended the run while the stream connected, handleNotReached claimed the copy's server again, and nextUpstream went through the migration's connection and dropped that claim.

--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -68,7 +68,7 @@
 // migrate starts the live migration of the run while the leaving backend server still works: a connection to the copy's backend
 // server is opened first, so that the caller sees a short pause only.
 func (s *session) migrate(server string) {
-	if s.handover != nil || s.isConnecting || s.isCopying || s.resumes >= maxResumes {
+	if s.handover != nil || s.isConnecting || s.isCopying || s.cancelEnding != nil || s.resumes >= maxResumes {
 		return
 	}
 	if s.leavingSince.IsZero() {
