fix(front): an unframed stream that another host ends does not look complete

What callers saw: a partial answer of 882 bytes that passed for a whole one. Cause: a path check did not mark the run as asked to end, so that the end of its connection was taken for the end of the answer.

--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -165,7 +165,7 @@
 func (s *session) askToEnd() {
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.cancelEnding = cancel
-	s.current.isAsked = true
+	s.current.isAsked.Store(true)
 	source := s.current.lease.Server
 	to := s.copyTarget(source, s.handover.lease.Server)
 	go func() { s.endResults <- s.endRun(ctx, source, to) }()
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,8 @@
 	targets []*pool.Lease
 	// mayRunAgain is set if the run may be started again without a copy.
 	mayRunAgain bool
+	// isAsked is set before another host is asked to end the run.
+	isAsked *atomic.Bool
 }
 
 // checkPath ends the run through another host if its stream is silent because this host does not reach its backend server.
@@ -38,7 +41,7 @@
 		return
 	}
 	s.pathCheckedAt = now
-	check := pathCheck{source: s.current.lease.Server, mayRunAgain: s.route.Resumable}
+	check := pathCheck{source: s.current.lease.Server, mayRunAgain: s.route.Resumable, isAsked: &s.current.isAsked}
 	a := s.requirements()
 	a.Exclude, a.Source, a.Tokens = slices.Clone(s.unreached), &check.source, s.expectedTokens()
 	if sb := s.current.standby; sb != nil {
@@ -78,6 +81,7 @@
 	if target == nil {
 		return moved{}
 	}
+	c.isAsked.Store(true)
 	m := q.endThroughOthers(ctx, c.source, target.Server)
 	switch {
 	case m.ending == endMoved && target != c.standby:
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -150,7 +150,7 @@
 		defer close(p.forwarded)
 	}
 	switch {
-	case errors.Is(p.err, io.EOF) && s.current.isUnframed && s.current.isAsked:
+	case errors.Is(p.err, io.EOF) && s.current.isUnframed && s.current.isAsked.Load():
 		return false, s.resume(io.ErrUnexpectedEOF)
 	case errors.Is(p.err, io.EOF) && s.started && s.current.began.IsZero() && s.current.header.Get("Content-Type") != s.contentType:
 		return false, s.resume(errors.New("an answer that is no stream came in its place"))
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,7 +55,7 @@
 	answer *send.Answer
 	// isAsked is set once the backend server has been asked to end the run: then the end of an unframed answer does not say that it is
 	// complete.
-	isAsked bool
+	isAsked atomic.Bool
 	// isEnded is set once the run is certain to have ended.
 	isEnded bool
 }
