fix(front): a run that another host ended does not lose its only copy

What callers saw: a stream that was cut, although its run had been copied. Cause: the end of the connection came before the other host's answer; the call was cancelled, and the copy's name with it.

--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -40,6 +40,10 @@
 	before.standby = nil
 	s.current = nil
 	s.request.close(before)
+	if s.cancelEnding != nil && s.handover == nil && before.isAsked.Load() {
+		// The answer of the other host, which takes a second at most, has the name of the copy.
+		s.endResults <- <-s.endResults
+	}
 	m := s.stopAsking()
 	before.isEnded = before.isEnded || m.ending.isProof()
 	if s.handover != nil && m.ending == endMoved {
