fix(relay): a caller that leaves within a token no longer leaves Run without an end

What operators would see: a host of the product's own interface whose processors are all in use, and requests that stay in progress until the host stops; a planned stop waits for them.

Cause: a token that could not be delivered ends the Machine in the connection's goroutine, which passes the end on to Run, unless its context has ended: then one of the two was chosen at random. A caller that leaves is the usual reason for both. Without the end, Run's context sent it "the caller left" again and again, which an ended Machine answers with nothing. The end of a complete answer could be lost likewise.

--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -159,6 +159,12 @@
 	case ActionFinish:
 		// Closed before Run's goroutine calls closeConn, so that the connection can be reused for another generation.
 		stream.Close()
+		s.actions <- act
+		return false
+	case ActionFail:
+		// The Machine has ended and returns no other action, so Run waits for this one, also after ctx has ended.
+		s.actions <- act
+		return false
 	}
 	select {
 	case s.actions <- act:
