fix(entry): the text of an answer that is not a stream is bounded

What callers would see: a faulty engine that sends tokens without end, for one caller that wants its answer as a whole, makes the host run out of memory; the requests of all callers at that host end with it.

Cause: the host kept the text until the generation ended. Nothing bounded it: a frame may have 1 MiB, and the number of tokens is not compared with what the request asked for.

Evidence: TestTextsWithoutEndExceedTheHostsMemory failed in both rows on the code before: 64 MiB were held for one answer, all that its engine had sent, and 223 MiB for 50 of 4 MiB.

A text has at most 16 MiB now. What it takes beyond 16 KiB, twice for its encoding, comes from the memory that all answers of the host share, for which a token waits up to 0.6 s. The caller of an answer beyond either learns why, and that its request may have run; its engine does not count as failed. After: the one ends, and 22 MiB are held for the many.

go test -race ./internal/entry ./internal/relay passed.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -56,7 +56,7 @@
 	// Demand may be nil; then requests for adapters are not counted.
 	Demand Demand
 	Limits config.Limits
-	// Answers is what the answers to plain calls take memory from, of which AnswersBytes may be held; nil means no bound.
+	// Answers is what buffered answers take memory from, of which AnswersBytes may be held; nil means no bound.
 	Answers      *memory.Pool
 	AnswersBytes int64
 	Metrics      *metric.Set
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -70,6 +70,10 @@
 		head:    answerHeader{ID: who.request, Created: time.Now().Unix(), Model: body.Model},
 		stream:  body.Stream,
 	}
+	if e.Answers != nil {
+		out.memory = e.Answers.NewAccount(e.AnswersBytes)
+		defer out.memory.Close()
+	}
 	use := e.Board.Usage.Open(board.RowKey{Workspace: who.workspace, Service: placement.Service})
 	summary, err := e.Relay.Run(r.Context(), placement, request, usageSink{sink: out, use: use})
 	use.Close(codeOf(err))
--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -19,8 +20,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonspur/tarragonspur/internal/call"
+	"github.com/tarragonspur/tarragonspur/internal/engine"
 	"github.com/tarragonspur/tarragonspur/internal/memory"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
+	"github.com/tarragonspur/tarragonspur/internal/relay"
 	"github.com/tarragonspur/tarragonspur/internal/sched"
 	"github.com/tarragonspur/tarragonspur/pkg/config"
 )
@@ -186,6 +189,112 @@
 	}
 }
 
+// listenWithTokens starts an engine that sends a number of tokens of a size for each generation, and then nothing until it is cancelled.
+func listenWithTokens(t *testing.T, tokens, size int) netip.AddrPort {
+	t.Helper()
+	text := strings.Repeat("x", size)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			return
+		}
+		var request engine.Request
+		if json.NewDecoder(r.Body).Decode(&request) != nil {
+			return
+		}
+		for n := range tokens {
+			if json.NewEncoder(w).Encode(engine.Frame{Request: request.ID, Generation: "g", Offset: n, Token: text}) != nil {
+				return
+			}
+		}
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// TestTextsWithoutEndExceedTheHostsMemory guards against engines that send tokens beyond any limit for answers that are not streams.
+func TestTextsWithoutEndExceedTheHostsMemory(t *testing.T) {
+	const (
+		bound = 24 << 20
+		// eachBytes allows for the goroutines and buffers of a request at both of its ends.
+		eachBytes = 96 << 10
+		size      = 12 << 10
+		samples   = 3
+	)
+	for _, tc := range []struct {
+		name             string
+		requests, tokens int
+		code             refuse.Code
+	}{
+		{"one", 1, (64 << 20) / size, refuse.CodeAnswerTooLarge},
+		{"many", 50, (4 << 20) / size, refuse.CodeInterrupted},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			engines := engine.NewClient()
+			defer engines.Close()
+			placed := &placer{backend: config.Backend{Name: "b", Address: listenWithTokens(t, tc.tokens, size)}}
+			relays := &relay.Relay{Placer: placed, Engines: engines, Rules: relay.Rules{FrameTimeout: time.Minute}, Log: slog.New(slog.DiscardHandler)}
+			defer relays.Close()
+			e := newAPI(t, relays, calls{&script{}}, limits())
+			e.Answers, e.AnswersBytes = &memory.Pool{}, bound
+			if tc.requests == 1 {
+				e.AnswersBytes = 4 * bound
+			}
+			handler := e.Handler()
+			before := heapInUse()
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			var callers sync.WaitGroup
+			var codes sync.Map
+			for n := range tc.requests {
+				callers.Go(func() {
+					req := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"assay-model","prompt":"p","max_tokens":8}`))
+					req.Header.Set("Authorization", "Bearer "+callerKey)
+					w := httptest.NewRecorder()
+					handler.ServeHTTP(w, req)
+					var refusal errorAnswer
+					if ctx.Err() == nil && assert.Check(t, json.Unmarshal(w.Body.Bytes(), &refusal)) {
+						codes.Store(n, refusal.Error.Code)
+						assert.Check(t, refusal.Error.Run == string(refuse.MayHaveRun), w.Body.String())
+					}
+				})
+			}
+			ended := func() (all int) {
+				codes.Range(func(_, code any) bool {
+					assert.Check(t, code == string(tc.code), code)
+					all++
+					return true
+				})
+				return all
+			}
+			held, settled := int64(0), 0
+			for end := time.Now().Add(10 * time.Second); settled < samples && time.Now().Before(end); {
+				time.Sleep(200 * time.Millisecond)
+				held = min(heapInUse(), heapInUse()) - before
+				if ended() > 0 && held < bound+int64(tc.requests)*eachBytes {
+					settled++
+				} else {
+					settled = 0
+				}
+			}
+			leave()
+			callers.Wait()
+			t.Logf("%d MiB held, %d of %d ended", held>>20, ended(), tc.requests)
+			assert.Equal(t, settled, samples, "%d MiB held, %d of %d ended", held>>20, ended(), tc.requests)
+			assert.Equal(t, placed.failed.Load(), int64(0))
+		})
+	}
+}
+
+// errorAnswer is the body of a refusal.
+type errorAnswer struct {
+	Error struct {
+		Code string `json:"code"`
+		Run  string `json:"run"`
+	} `json:"error"`
+}
+
 // TestAnswersThatFindNoMemoryMayHaveRun checks what the caller of a refused answer learns.
 func TestAnswersThatFindNoMemoryMayHaveRun(t *testing.T) {
 	addr, _ := listenWith(t, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("x", 200000), "")
@@ -204,12 +313,7 @@
 		return w.Code, w.Body.String()
 	}
 	status, text := answer()
-	var refusal struct {
-		Error struct {
-			Code string `json:"code"`
-			Run  string `json:"run"`
-		} `json:"error"`
-	}
+	var refusal errorAnswer
 	assert.NilError(t, json.Unmarshal([]byte(text), &refusal), text)
 	assert.Equal(t, status, refuse.CodeInterrupted.Status(), text)
 	assert.Equal(t, refusal.Error.Run, string(refuse.MayHaveRun), text)
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -1,15 +1,31 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/tarragonspur/tarragonspur/internal/call"
+	"github.com/tarragonspur/tarragonspur/internal/memory"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
 	"github.com/tarragonspur/tarragonspur/internal/relay"
 )
 
+const (
+	// maxTextBytes bounds the text of an answer that is not a stream.
+	maxTextBytes = 16 << 20
+	// smallTextBytes of each text take no memory of the answers'.
+	smallTextBytes = 16 << 10
+	// textCost is what a byte of a text takes, with that of its encoding.
+	textCost = 2
+	// maxMemoryWait bounds how long a text waits for memory.
+	maxMemoryWait = 600 * time.Millisecond
+	// memoryRetryAfter is the Retry-After of answers that found no memory.
+	memoryRetryAfter = time.Second
+)
+
 // answerHeader holds the fields that all chunks of an answer have in common.
 type answerHeader struct {
 	ID      string `json:"id"`
@@ -101,6 +117,8 @@
 	// firstTokenAt is the time of the first token.
 	firstTokenAt time.Time
 	text         strings.Builder
+	// memory is what the text is taken from; nil means no bound.
+	memory *memory.Account
 	// control sets the deadline of writes, which was last set at deadlineSetAt.
 	control       *http.ResponseController
 	deadlineSetAt time.Time
@@ -113,8 +131,7 @@
 	}
 	o.tokens++
 	if !o.stream {
-		o.text.WriteString(text)
-		return nil
+		return o.buffer(text)
 	}
 	if !o.started {
 		o.started = true
@@ -125,6 +142,43 @@
 	return o.event("", o.form.chunk(o.head, text, ""))
 }
 
+// buffer adds a token to the text of an answer that is not a stream.
+func (o *writer) buffer(token string) error {
+	size := o.text.Len() + len(token)
+	if size > maxTextBytes {
+		return refuse.New(refuse.CodeAnswerTooLarge, "the answer is larger than the limit")
+	}
+	if held := o.text.Cap(); size > held {
+		size = max(size, 2*held)
+		if !o.take(size) {
+			e := refuse.New(refuse.CodeInterrupted, call.ErrNoMemory.Error())
+			e.RetryAfter = memoryRetryAfter
+			return e
+		}
+		o.text.Grow(size - o.text.Len())
+		o.release(held)
+	}
+	o.text.WriteString(token)
+	return nil
+}
+
+// take takes memory for a text of a size, for which it waits for a moment.
+func (o *writer) take(size int) bool {
+	if o.memory == nil || size <= smallTextBytes {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), maxMemoryWait)
+	defer cancel()
+	return o.memory.Acquire(ctx, textCost*(size-smallTextBytes))
+}
+
+// release releases what take has taken for a text of a size.
+func (o *writer) release(size int) {
+	if o.memory != nil && size > smallTextBytes {
+		o.memory.Release(textCost * (size - smallTextBytes))
+	}
+}
+
 func (o *writer) end(s relay.Summary, promptTokens int) {
 	if o.stream {
 		_ = o.event("", o.form.chunk(o.head, "", s.Finish))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,7 +34,7 @@
 
 // Sink receives the tokens of one answer in order.
 type Sink interface {
-	// Token sends one token to the caller; an error means that the caller has left.
+	// Token sends one token to the caller; an error means that the caller has left, or, if it is a *refuse.Error, why it gets no more.
 	Token(text string) error
 }
 
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -101,7 +101,7 @@
 		case ActionFail:
 			s.record(stepRefused, act.Refusal.Message)
 			s.endAttempt(ctx, act.Abandon)
-			return Summary{}, s.markInternal(ctx, act.Refusal)
+			return Summary{}, s.explain(ctx, act.Refusal)
 		case ActionPlace:
 			if act.Abandon != CauseNone {
 				s.record(stepRetried, act.Abandon.String())
@@ -241,12 +241,16 @@
 	return nil
 }
 
-// markInternal turns the refusal into an internal error if an invariant was violated.
-func (s *session) markInternal(ctx context.Context, r *refuse.Error) *refuse.Error {
-	if errors.Is(s.deliverErr, ErrInvariant) {
+// explain turns the refusal into an internal error if an invariant was violated, and gives it the sink's reason if that refused a token.
+func (s *session) explain(ctx context.Context, r *refuse.Error) *refuse.Error {
+	var refused *refuse.Error
+	switch {
+	case errors.Is(s.deliverErr, ErrInvariant):
 		s.count(ctx, Meter.Violated)
 		r.Code = refuse.CodeInternal
 		r.Message = s.deliverErr.Error()
+	case errors.As(s.deliverErr, &refused):
+		r.Code, r.Message, r.RetryAfter = refused.Code, refused.Message, refused.RetryAfter
 	}
 	return r
 }
