fix(front): a run that another host has ended is not sent back to its first server

What callers would see: a stream cut, or an unframed one that looks complete, because a host that was stalled handles a call to end the first run late, when a later run of the same request works at that server. And a request that a silent path delivers after another host has answered that there is no such run would be run beside the next one.

Cause: a server whose run was ended by another host stayed eligible for the request, and "absent" was taken as the last word, although the request may still be on its way there. The review of the change found both.

A path check counts its pause from its end, so that streams of a dead server claim memory for copies less often.

TestRunDoesNotGoBackToWhereItIsEnded has a row for it, which failed before (3 sends in place of 2). The late delivery and the claims were read, not tested.

--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -153,6 +153,10 @@
 		began := time.Now()
 		m := q.endWithin(ctx, maxEndWait, server, q.copyTarget(server, next), q.Others != nil)
 		q.log.Info("end of the run awaited", "server", server.ID, "ending", m.ending.String(), "waited", time.Since(began))
+		if m.isByOther {
+			// A host that was late with its answer may ask once more.
+			q.unreached = append(q.unreached, server.ID)
+		}
 		switch {
 		case m.ending == endRefused:
 			q.unended = servers[i:]
@@ -160,6 +164,9 @@
 		case m.ending == endUnknown:
 			q.unreached = append(q.unreached, server.ID)
 			q.endInBackground(server, next)
+		case m.ending == endAbsent && m.isByOther:
+			// The path may still deliver the request.
+			q.endInBackground(server, next)
 		case m.copy.Name != "" && m.at == next.ID:
 			made = m.copy
 		default:
--- a/internal/front/order_test.go
+++ b/internal/front/order_test.go
@@ -304,27 +304,39 @@
 // TestRunDoesNotGoBackToWhereItIsEnded guards against a run that is ended by a call that was meant for an earlier one at the same backend
 // server.
 func TestRunDoesNotGoBackToWhereItIsEnded(t *testing.T) {
-	r, paths := newPathRig(t)
-	for _, e := range r.engines {
-		e.IgnoresEnds, e.Events = true, 130
-	}
-	ask := r.longRequest("/report/x", 6*time.Second)
-	answers := make(chan reply, 1)
-	go func() { answers <- r.do(t, ask) }()
-	source := r.runningEngine(t)
-	time.Sleep(200 * time.Millisecond)
-	p := paths[r.index(source)]
-	p.isCut.Store(true)
-	p.breakConnections()
-	eventually(t, "the stream to go on elsewhere", func() bool { return len(r.received()) == 2 })
-	p.isCut.Store(false)
-	for i, e := range r.engines {
-		if e != source {
-			r.putAt(i, paths[i].address(), true)
-		}
+	for _, tc := range []struct {
+		name           string
+		isEndedByOther bool
+	}{
+		{"in the background", false},
+		{"by another host, which may be late with a second call", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, paths := newPathRig(t)
+			if tc.isEndedByOther {
+				r.Others = otherHost{r}
+			}
+			for _, e := range r.engines {
+				e.IgnoresEnds, e.Events = true, 130
+			}
+			ask := r.longRequest("/report/x", 6*time.Second)
+			answers := make(chan reply, 1)
+			go func() { answers <- r.do(t, ask) }()
+			source := r.runningEngine(t)
+			time.Sleep(200 * time.Millisecond)
+			p := paths[r.index(source)]
+			p.cut()
+			eventually(t, "the stream to go on elsewhere", func() bool { return len(r.received()) == 2 })
+			p.isCut.Store(false)
+			for i, e := range r.engines {
+				if e != source {
+					r.putAt(i, paths[i].address(), true)
+				}
+			}
+			<-answers
+			assert.Equal(t, len(r.received()), 2, "the first backend server got the request once more")
+		})
 	}
-	<-answers
-	assert.Equal(t, len(r.received()), 2, "the first backend server got the request once more")
 }
 
 // TestRunIsNotCopiedBetweenRegions guards against a copy over the link between two regions, which would hold up all others.
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -114,9 +114,11 @@
 
 // handleNotReached replaces the current upstream if another host has ended the run.
 func (s *session) handleNotReached(m moved) error {
+	s.pathCheckedAt = time.Now()
 	if !m.ending.isProof() {
 		return nil
 	}
+	s.unreached = append(s.unreached, s.current.lease.Server.ID)
 	s.current.lease.RecordConnectionFailure(time.Now())
 	s.log.Info("stream leaves a backend server that is not reached", "server", s.current.lease.Server.ID, "ending", m.ending.String(),
 		"last_event", s.lastNumber, "silent_for", s.timing.sinceLast(time.Now()))
