--- a/internal/call/overlap_test.go
+++ b/internal/call/overlap_test.go
@@ -30,7 +30,7 @@
 	return ticket{config.Backend{Name: addr.String(), Address: addr}}, nil
 }
 
-// TestServerReceivesABookingThatAnotherOneMayRun checks with stand-ins that a booking goes on to the next server only after
+// TestServerReceivesABookingThatAnotherOneMayRun checks with stand-ins that a booking is sent to the next server only after
 // the first has not run it, whatever the first does with it later.
 func TestServerReceivesABookingThatAnotherOneMayRun(t *testing.T) {
 	const deadline = time.Second
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -28,7 +28,7 @@
 	// minChunkBytes and maxChunkBytes bound the parts in which an answer is read.
 	minChunkBytes = 4 << 10
 	maxChunkBytes = 64 << 10
-	// maxReservedBytes is the part of an answer's stated length that its memory is taken for at once, so that answers with a part of
+	// maxReservedBytes is the part of an answer's stated length that its memory is taken for in one step, so that answers with a part of
 	// their memory don't wait for each other.
 	maxReservedBytes = 1 << 20
 	// maxMemoryWait bounds how long an answer waits for memory.
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -33,7 +33,7 @@
 	crashesAt, hangsAt, foreignFrameAt, newGenerationAt int
 	// noProgress makes the engine leave progress probes unanswered.
 	noProgress bool
-	// breaksAt is the offset at which the connection breaks while the run goes on; from then on the path to the engine is
+	// breaksAt is the offset at which the connection breaks while the run continues; from then on the path to the engine is
 	// silent for silence. With lateStart, each start arrives that long after its sending.
 	breaksAt  int
 	silence   time.Duration
--- a/internal/relay/overlap_test.go
+++ b/internal/relay/overlap_test.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// TestCallerLeavesWhileAnAttemptIsStopped checks that the answer ends at once and the engine is still told.
+// TestCallerLeavesWhileAnAttemptIsStopped checks that the answer ends immediately and the engine still gets the cancel.
 func TestCallerLeavesWhileAnAttemptIsStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newFleet(400, faultyEngine(func(f *faults) { f.breaksAt, f.silence = 0, 800*time.Millisecond }), healthy())
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -23,7 +23,7 @@
 )
 
 // standIns are model engines behind HTTP servers of their own. The first one's stream breaks before its first token, and
-// the engine then answers nothing for silence; its generation goes on.
+// the engine then answers nothing for silence; its generation continues.
 type standIns struct {
 	engines  []*model.Server
 	backends []config.Backend
