fix(gossip): hosts that fall silent one after the other leave a cut host its part of a limit

What a backend server would see: a host that is cut off takes up to half of its limit in the second in which the others fall silent.

Cause: the last digests of the others are up to a heartbeat apart, so that a host that loses them counts five, four, three, two, one other and only then none, which is where it began to count them as it had last heard of them.

Now three hosts or more that fell silent within two heartbeats, and more than are left, count as cut off too. Fewer than half that die at the same time are dropped as before.

--- a/internal/gossip/share.go
+++ b/internal/gossip/share.go
@@ -14,6 +14,9 @@
 // cutOffHosts is the number of other hosts from which on their silence means that this host is cut off: they don't all end together.
 const cutOffHosts = 3
 
+// cutOffSpread bounds the time between the last digests of hosts that fall silent together: each sends one a heartbeat at least.
+const cutOffSpread = 2 * heartbeat
+
 // LimitShare returns the part of a backend server's limit that this host may use, by the requests to the service at all live
 // hosts. Its own are those of its last digest, as others know them. A host that has lost all others, or its relays, keeps the part
 // that it had, since the others use theirs.
@@ -31,7 +34,7 @@
 		return notice.ShareByRank(server, limit, (own+float64(others)/seconds)/float64(g.liveHosts), g.position, g.liveHosts)
 	}
 	others := g.reporters.Recent(now)
-	if len(others) == 0 {
+	if lost := g.reporters.RecentlyLost(cutOffSpread, now); len(others) == 0 || lost >= cutOffHosts && lost > len(others) {
 		known := g.reporters.Known(now)
 		maps.DeleteFunc(known, func(name string, _ tally.Counts) bool { return g.peers[name] != nil && g.peers[name].leaving })
 		if len(known) >= cutOffHosts {
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -111,6 +111,11 @@
 // Recent returns the counts of the sources with recent news, by name.
 func (s *Sources) Recent(now time.Time) map[string]Counts { return s.within(s.MaxAge, now) }
 
+// RecentlyLost returns the number of sources whose news stopped being recent within a time.
+func (s *Sources) RecentlyLost(within time.Duration, now time.Time) int {
+	return len(s.within(s.MaxAge+within, now)) - len(s.within(s.MaxAge, now))
+}
+
 // Known returns the last counts of the sources that are not forgotten, by name.
 func (s *Sources) Known(now time.Time) map[string]Counts { return s.within(s.MaxKnownAge, now) }
 
