test(engine): streams of long frames are counted once they are open

The test now samples once all 100 streams are open, opens eight at a time, since opening has a time limit, and looks for 20 s at most. Six runs of both beside each other with -race: the old one failed six times, the new one never.

--- a/internal/engine/memory_test.go
+++ b/internal/engine/memory_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +33,8 @@
 func TestManyFramesDoNotExceedTheHostsMemory(t *testing.T) {
 	const (
 		streams, bound = 100, 16 << 20
+		// openings is the number of streams that are opened at the same time.
+		openings = 8
 		// eachBytes allows for the goroutines and buffers of a stream at both of its ends.
 		eachBytes = 96 << 10
 		// samples is the number of samples in a row in which the memory held is below the bound.
@@ -63,12 +66,17 @@
 			ctx, leave := context.WithCancel(t.Context())
 			defer leave()
 			var readers sync.WaitGroup
+			var started atomic.Int32
+			opening := make(chan struct{}, openings)
 			for range streams {
 				readers.Go(func() {
+					opening <- struct{}{}
 					s, err := c.Start(ctx, at, engine.Request{})
+					<-opening
 					if !assert.Check(t, err) {
 						return
 					}
+					started.Add(1)
 					defer s.Close()
 					for err == nil {
 						_, err = s.Next()
@@ -77,10 +85,10 @@
 				})
 			}
 			held, settled := int64(0), 0
-			for end := time.Now().Add(5 * time.Second); settled < samples && time.Now().Before(end); {
+			for end := time.Now().Add(20 * time.Second); settled < samples && time.Now().Before(end); {
 				time.Sleep(100 * time.Millisecond)
 				held = min(heapInUse(), heapInUse()) - before
-				if held < bound+streams*eachBytes {
+				if started.Load() == streams && held < bound+streams*eachBytes {
 					settled++
 				} else {
 					settled = 0
