test(front): the other host of a test is complete before its request is sent

The test set what the other host does after it had sent the request; a path check reads it from another goroutine. It is set before now, and the index of the backend server is atomic. The checks are the same.

--- a/internal/front/others_test.go
+++ b/internal/front/others_test.go
@@ -167,20 +167,22 @@
 		close(migrates)
 		time.Sleep(200 * time.Millisecond)
 	}}
-	ask := r.longRequest("/report/x", 8*time.Second)
-	done := make(chan reply, 1)
-	go func() { done <- r.do(t, ask) }()
-	source := r.runningEngine(t)
-	i := r.index(source)
+	var index atomic.Int32
 	other.asked = func() {
+		i := int(index.Load())
 		r.putAt(i, paths[i].address(), true)
 		select {
 		case <-migrates:
 		case <-time.After(400 * time.Millisecond):
 		}
 	}
+	ask := r.longRequest("/report/x", 8*time.Second)
+	done := make(chan reply, 1)
+	go func() { done <- r.do(t, ask) }()
+	source := r.runningEngine(t)
+	index.Store(int32(r.index(source)))
 	time.Sleep(700 * time.Millisecond)
-	paths[i].silence(t)
+	paths[index.Load()].silence(t)
 	got := <-done
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.text, fullStream(130))
