--- a/review/fakes-2/rig2/engine.go
+++ b/review/fakes-2/rig2/engine.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,9 @@
 	record      *record
 	// works are the works by path prefix.
 	works map[string]work
+	// onRun is called when a run begins; may be nil. late counts the runs that came too late.
+	onRun func(id string)
+	late  atomic.Int64
 
 	mu      sync.Mutex
 	running int
@@ -80,6 +84,9 @@
 		s.mu.Unlock()
 	}()
 	s.record.line("server %s runs %s %s", s.id, id, r.URL.Path)
+	if s.onRun != nil {
+		s.onRun(id)
+	}
 	var job work
 	for prefix, j := range s.works {
 		if strings.HasPrefix(r.URL.Path, prefix) {
--- a/review/fakes-2/rig2/hosts.go
+++ b/review/fakes-2/rig2/hosts.go
@@ -51,12 +51,13 @@
 	return l.Addr().(*net.TCPAddr).Port
 }
 
-// writeSettings writes the settings of n hosts of one zone, at 127.0.9.1 and on, as the template of the deploy file renders them.
-func writeSettings(folder string, n int, store string) ([]*host, error) {
-	hosts := make([]*host, n)
+// writeSettings writes the settings of hosts of one zone, at 127.0.9.1 and on, as the template of the deploy file renders them; stores
+// are the addresses at which they reach the store.
+func writeSettings(folder string, stores []string) ([]*host, error) {
+	hosts := make([]*host, len(stores))
 	peers, metrics := freePort("127.0.9.1"), freePort("127.0.9.1")
 	var seeds []string
-	for i := range min(n, 3) {
+	for i := range min(len(stores), 3) {
 		seeds = append(seeds, fmt.Sprintf("127.0.9.%d:8748", i+1))
 	}
 	for i := range hosts {
@@ -65,7 +66,7 @@
 		h.settings = filepath.Join(folder, h.name+".jsonc")
 		text, err := json.Marshal(map[string]any{
 			"host": h.name, "domain": "trent-mill", "region": "midlands-east", "callers": h.callers,
-			"peers": fmt.Sprintf("%s:%d", ip, peers), "metrics": fmt.Sprintf("%s:%d", ip, metrics), "store": store,
+			"peers": fmt.Sprintf("%s:%d", ip, peers), "metrics": fmt.Sprintf("%s:%d", ip, metrics), "store": stores[i],
 			"platform": map[string]any{
 				"ready": h.ready, "regions": map[string]string{"trent-mill": "midlands-east", "severn-yard": "midlands-west", "soar-lab": "midlands-east"},
 				"key_age": ms(revoke), "table_apply": ms(configApply), "retry_ratio": 0.2, "retry_extra": retryExtra, "retry_window": "10s",
--- a/review/fakes-2/rig2/main.go
+++ b/review/fakes-2/rig2/main.go
@@ -100,22 +100,11 @@
 
 // startHosts starts n hosts and waits until they are ready.
 func (r *rig) startHosts(n int) error {
-	var err error
-	if r.hosts, err = writeSettings(r.folder, n, r.store.address); err != nil {
-		return err
-	}
-	for _, h := range r.hosts {
-		if err := h.start(); err != nil {
-			return err
-		}
-	}
-	for _, h := range r.hosts {
-		if !h.awaitReady(10 * time.Second) {
-			return fmt.Errorf("%s is not ready", h.name)
-		}
-		r.rec.line("%s is ready", h.name)
+	stores := make([]string, n)
+	for i := range stores {
+		stores[i] = r.store.address
 	}
-	return nil
+	return r.startHostsAt(stores)
 }
 
 // manifest is the operator's manifest with the given routes, for engines with a number of slots.
