--- a/review/fakes/rig2/memory.go
+++ b/review/fakes/rig2/memory.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -26,6 +27,10 @@
 // slowBodies has consumers whose bodies arrive slowly, at two hosts. As the platform does, it kills a process whose memory exceeds its
 // limit, and starts it again. It counts how often that happens at each host.
 func slowBodies(r *rig) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < 4100 {
+		return fmt.Errorf("a process may have %d descriptors only (%v)", limit.Cur, err)
+	}
 	app, err := startServer("i-5b2e7d10", "127.0.9.100", 6, map[string]work{"/plain/": {first: 30 * time.Millisecond}}, r.rec)
 	if err != nil {
 		return err
