fix(front): requests that wait are answered when a version of the table removes their route

The log line on the end of the wait then read the route's name. net/http recovers such a panic and closes the connection; its log line is at level debug, so nothing said why.

A request that is refused at that point now keeps what the version before says of it. The same cause lost the answer of a first backend server, which the host still had when the route of a plain request went before it could be sent again.

Related paths: only the platform's path matches a request again. The product's own interface looks services and rows up once, in maps of values, without pointers that a later version could clear (read).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -110,13 +110,9 @@
 	// bodyBytes is what the body takes of the memory for bodies.
 	bodyBytes int64
 	// account is what its answers take of the memory for answers.
-	account   *memory.Account
-	route     *policy.Route
-	service   *policy.Service
-	workspace *policy.Workspace
-	table     int64
-	tableAge  time.Duration
-	deadline  time.Time
+	account  *memory.Account
+	deadline time.Time
+	binding
 	// keys are what the request has in common with others, guarded its registration with the guard.
 	keys    crash.Keys
 	guarded *crash.Run
@@ -135,6 +131,15 @@
 	log       *slog.Logger
 }
 
+// binding is what a version of the table says of a request.
+type binding struct {
+	route     *policy.Route
+	service   *policy.Service
+	workspace *policy.Workspace
+	table     int64
+	tableAge  time.Duration
+}
+
 // SetMaxKeyAge sets the age of the routing table above which keys are no longer accepted; 0 means no bound.
 func (f *Front) SetMaxKeyAge(age time.Duration) { f.keyAge.Store(int64(age)) }
 
--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/fair"
+	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
@@ -62,7 +63,7 @@
 func (q *request) attemptStart(l queue.Limits) (*pool.Lease, error) {
 	table, confirmed := q.Tables.View()
 	if table.Version != q.table || q.isStale(confirmed) || q.stop.Load() != nil {
-		if err := q.match(table, confirmed); err != nil {
+		if err := q.rebind(table, confirmed); err != nil {
 			return nil, err
 		}
 	}
@@ -82,6 +83,16 @@
 	return lease, err
 }
 
+// rebind matches the request anew. If it is refused, it keeps its binding, which its log lines and an answer that it already has need.
+func (q *request) rebind(table *policy.Table, confirmed time.Duration) error {
+	before := q.binding
+	err := q.match(table, confirmed)
+	if err != nil {
+		q.binding = before
+	}
+	return err
+}
+
 // isLimitedTooLong reports whether all servers of a plain request have stated limits that are used up until after its last useful start.
 func (q *request) isLimitedTooLong(err error) bool {
 	var limited *pool.LimitedError
