fix(front): a request that may have run is neither refused nor run again after a table change

If a version of the table had removed its route, key or service meanwhile, or the host was about to stop, the caller received a refusal (404, 401, 503), whose body says that the request did not run, and a 503 promises it. If the new version made the route one whose requests run once, the request was sent a second time.

Once a backend server may have run the request, it is not sent again in these cases, and its caller receives 502, which promises nothing.

TestRequestThatMayHaveRunIsNotRefusedAfterATableChange failed before in all ten rows: 404, 401 or 503 in place of 502, and two sends in place of one.

--- a/internal/front/fail.go
+++ b/internal/front/fail.go
@@ -23,6 +23,8 @@
 	errCut = errors.New("stream was cut")
 	// errNotRun marks failed sends of which it is certain that the backend server did not run the request.
 	errNotRun = errors.New("request did not run")
+	// errNotSentAgain marks requests that may have run and that the table no longer allows to send to another backend server.
+	errNotSentAgain = errors.New("request is not sent again")
 )
 
 // retryable returns a refusal of a request that did not run, with a short Retry-After.
--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -84,11 +84,20 @@
 }
 
 // rebind matches the request anew. If it is refused, it keeps its binding, which its log lines and an answer that it already has need.
+// Once a backend server may have run the request, the error is no refusal, since these say that it did not run.
 func (q *request) rebind(table *policy.Table, confirmed time.Duration) error {
 	before := q.binding
 	err := q.match(table, confirmed)
-	if err != nil {
-		q.binding = before
+	hasRun := q.runs.Load() > 0
+	if err == nil && hasRun && !q.route.IsRetryable() {
+		err = errors.Newf("route %s does not allow a second run", q.route.Name)
+	}
+	if err == nil {
+		return nil
+	}
+	q.binding = before
+	if hasRun {
+		return errors.Mark(errors.Newf("not sent again: %s", err), errNotSentAgain)
 	}
 	return err
 }
--- a/internal/front/rebind_test.go
+++ b/internal/front/rebind_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -91,3 +92,51 @@
 	assert.Equal(t, <-r.start(t, callerRequest{path: "/read/x", key: "k1"}), http.StatusInternalServerError)
 	assert.Equal(t, len(r.received()), 1)
 }
+
+// TestRequestThatMayHaveRunIsNotRefusedAfterATableChange guards against refusals, which say that a request did not run, and second runs
+// of a request that a version of the table makes one that runs once, where the first answer was lost.
+func TestRequestThatMayHaveRunIsNotRefusedAfterATableChange(t *testing.T) {
+	runOnce := func(t *policy.Table) {
+		var routes []*policy.Route
+		for _, prefix := range []string{"/read/", "/note/"} {
+			service, kind := "mill", policy.NonIdempotent
+			if prefix == "/note/" {
+				service, kind = "model", policy.Streaming
+			}
+			routes = append(routes, &policy.Route{
+				Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, Services: []policy.WeightedService{{Service: service, Weight: 1}}, MaxAttempts: 2,
+			})
+		}
+		t.SetRoutes(routes)
+	}
+	for _, tc := range []struct {
+		name   string
+		change func(r *rig)
+	}{
+		{"route removed", func(r *rig) { r.change(removeRoutes) }},
+		{"key removed", func(r *rig) { r.change(func(t *policy.Table) { delete(t.Keys, "k1") }) }},
+		{"services removed", func(r *rig) { r.change(func(t *policy.Table) { clear(t.Services) }) }},
+		{"routes that allow one run", func(r *rig) { r.change(runOnce) }},
+		{"host that stops", func(r *rig) { r.StopAt(time.Now(), time.Now().Add(time.Second)) }},
+	} {
+		for _, request := range []callerRequest{
+			{path: "/read/x", key: "k1"},
+			{path: "/note/x", key: "k1", headers: map[string]string{"Token-Usage": "800,16"}},
+		} {
+			t.Run(tc.name+" "+request.path, func(t *testing.T) {
+				r := newRig(t, 4)
+				r.Queue.IsFair = true
+				for _, e := range r.engines {
+					e.Script = func(conn net.Conn, q *plat.Request) bool {
+						tc.change(r)
+						e.MarkRun(q)
+						_ = conn.Close()
+						return true
+					}
+				}
+				assert.Equal(t, <-r.start(t, request), http.StatusBadGateway)
+				assert.Equal(t, len(r.received()), 1)
+			})
+		}
+	}
+}
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -69,7 +69,7 @@
 // taken from the retry budget.
 func (q *request) mayRetry(err error) bool {
 	var refused *refuse.Error
-	if errors.Is(err, pool.ErrNoServer) || errors.Is(err, pool.ErrLimited) || errors.Is(err, queue.ErrOverloaded) || errors.Is(err, crash.ErrQuarantined) || errors.As(err, &refused) || len(q.tried) >= maxSends {
+	if errors.IsAny(err, pool.ErrNoServer, pool.ErrLimited, queue.ErrOverloaded, crash.ErrQuarantined, errNotSentAgain) || errors.As(err, &refused) || len(q.tried) >= maxSends {
 		return false
 	}
 	if errors.Is(err, send.ErrNotSent) {
