fix(front): a request whose handling panics is logged and answered

A host now logs the panic with the request's ID and the stack, counts the outcome, and answers 500, which does not say that the request has not run; if a part of an answer has been written, it closes the connection as for any other cut answer.

--- a/internal/front/fail.go
+++ b/internal/front/fail.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -110,11 +111,30 @@
 	if refused.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(refused.RetryAfter.Seconds(), 'f', 2, 64))
 	}
+	q.hasHead = true
 	q.w.WriteHeader(status)
 	// A write error means that the caller has disconnected.
 	_, _ = q.w.Write(refused.JSON())
 }
 
+// handlePanic answers a request whose handling has panicked, unless a part of an answer has been written, and logs the stack: net/http
+// would close the connection and log nothing at the usual level.
+func (q *request) handlePanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	// The value is net/http's own and not wrapped.
+	if cause == http.ErrAbortHandler { //nolint:errorlint // a panic's value, not an error that was returned
+		panic(cause)
+	}
+	q.log.Error("request handling panicked", "panic", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	if q.hasHead {
+		q.fail(errors.Mark(errors.New("panic within an answer"), errCut))
+	}
+	q.fail(&refuse.Error{Code: refuse.CodeInternal, Message: "internal error", Run: refuse.MayHaveRun})
+}
+
 // recordOutcome counts a request and logs its outcome, once for each request.
 func (q *request) recordOutcome(outcome string, status int, extra ...any) {
 	route, kind, service := "", "", ""
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -129,6 +129,8 @@
 	// unreached are those at which the run is ended in the background; they get the request no more, since that would end it too.
 	unreached []string
 	log       *slog.Logger
+	// hasHead is set once the head of an answer has been written to the caller.
+	hasHead bool
 }
 
 // binding is what a version of the table says of a request.
@@ -154,6 +156,7 @@
 		account: f.answerAccount(), log: f.Log.With("request", call.ID),
 	}
 	defer q.account.Close()
+	defer q.handlePanic()
 	if f.CallerConn != nil {
 		q.conn = f.CallerConn(r.Context())
 	}
--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -339,5 +339,6 @@
 	if _, stated := h["Content-Type"]; !stated {
 		h["Content-Type"] = nil
 	}
+	q.hasHead = true
 	q.w.WriteHeader(status)
 }
