fix(mirror): a host that stops reading the store for others ends the calls that wait there

Cause: such a host refuses calls for the table once its last confirmation of the table is 1.5 s old. Calls for other kinds, whose documents may be 4.5 s old, went on to the end of their wait of 2 s, and new ones were still taken. A call for backend servers that began up to a second after the cut hid a leaving server until 3 s after it. The other host had noted the loss for its next call only.

All calls for other hosts now end as soon as the host no longer counts as reading the store, which the age of the table decides. The callers then read from the next host or the store.

TestLeavingServerIsKnownInTime failed before in four of its rows, each in which a call begins after the cut: not known after 2.5 s. After: 1.38 s at most. The rows in which the reading host falls silent to the other one held before (0.96 s): the calls for the table find that out and close the connection for all kinds.

--- a/internal/mirror/cache.go
+++ b/internal/mirror/cache.go
@@ -119,13 +119,28 @@
 	return c.revision, ticks.Now() - c.confirmed, c.revision > 0
 }
 
+// left returns the time until the last confirmation is older than maxAge, negative after that, and maxAge before the first one.
+func (c *cache) left(maxAge time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.confirmed == 0 {
+		return maxAge
+	}
+	return maxAge - (ticks.Now() - c.confirmed)
+}
+
 // read returns all documents if since is 0, and otherwise the changes after it as soon as there are any; after wait it
 // returns an empty batch. While this host reads the first list, read waits for it. The error is ErrNotReading, also as soon as
-// the last confirmation is older than maxAge, ErrLoading, ErrHistoryGone or that of ctx. The batch's age is that at the call.
-func (c *cache) read(ctx context.Context, since int64, wait, maxAge time.Duration) (Batch, error) {
+// the last confirmation is older than maxAge or the host has stopped reading for others, ErrLoading, ErrHistoryGone or that of ctx.
+// The batch's age is that at the call. readsFor returns for how long the host reads for others if the store confirms nothing more.
+func (c *cache) read(ctx context.Context, since int64, wait, maxAge time.Duration, readsFor func() time.Duration) (Batch, error) {
 	asked, end := ticks.Now(), time.Now().Add(wait)
 	for {
 		waited := ticks.Now() - asked
+		reads := readsFor()
+		if reads < 0 {
+			return Batch{}, ErrNotReading
+		}
 		b, changed, err := c.changesSince(since, maxAge)
 		isLoading := errors.Is(err, ErrLoading)
 		left := time.Until(end)
@@ -136,7 +151,7 @@
 		if !isLoading {
 			left = min(left, maxAge-b.Age+time.Millisecond)
 		}
-		timer := time.NewTimer(left)
+		timer := time.NewTimer(min(left, reads+time.Millisecond))
 		select {
 		case <-changed:
 		case <-timer.C:
--- a/internal/mirror/link.go
+++ b/internal/mirror/link.go
@@ -156,7 +156,7 @@
 // Read returns documents that this host has read from the store.
 func (s *Server) Read(ctx context.Context, in *mirpb.ReadRequest) (*mirpb.ReadReply, error) {
 	c := s.Mirror.cache(in.GetKind())
-	b, err := c.read(ctx, in.GetSince(), time.Duration(in.GetWaitMs())*time.Millisecond, s.Mirror.maxAge(in.GetKind()))
+	b, err := c.read(ctx, in.GetSince(), time.Duration(in.GetWaitMs())*time.Millisecond, s.Mirror.maxAge(in.GetKind()), s.Mirror.readsFor)
 	if errors.Is(err, ErrHistoryGone) {
 		return &mirpb.ReadReply{HistoryGone: true}, nil
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -291,6 +291,12 @@
 	return ok && age <= m.maxAge(kind)
 }
 
+// readsFor returns for how long this host reads for others if the store confirms nothing more: until documents of ReaderKind are too
+// old. What it knows of other kinds may be younger or older than that, but the host may already have lost the store.
+func (m *Mirror) readsFor() time.Duration {
+	return m.cache(m.ReaderKind).left(m.maxAge(m.ReaderKind))
+}
+
 // maxAge returns the age of the last confirmation up to which documents of a kind are passed on.
 func (m *Mirror) maxAge(kind string) time.Duration {
 	switch {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -168,22 +168,25 @@
 	}
 }
 
+// readsOn is the answer of a host that reads for others.
+func readsOn() time.Duration { return time.Hour }
+
 func TestCacheRejectsRevisionsOutsideItsHistory(t *testing.T) {
 	c := newCache()
-	_, err := c.read(t.Context(), 0, 0, maxAge)
+	_, err := c.read(t.Context(), 0, 0, maxAge, readsOn)
 	assert.ErrorIs(t, err, ErrNotReading)
 	c.replace(Batch{Revision: 10, Changed: []Document{document("a", 3)}}, ticks.Now())
-	_, err = c.read(t.Context(), 9, 0, maxAge)
+	_, err = c.read(t.Context(), 9, 0, maxAge, readsOn)
 	assert.ErrorIs(t, err, ErrHistoryGone, "removals before the list are not kept")
 	c.apply(Batch{Revision: 12, Removed: []string{"a"}}, 10, ticks.Now())
-	b, err := c.read(t.Context(), 10, 0, maxAge)
+	b, err := c.read(t.Context(), 10, 0, maxAge, readsOn)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, b.Removed, []string{"a"})
-	b, err = c.read(t.Context(), 20, 0, maxAge)
+	b, err = c.read(t.Context(), 20, 0, maxAge, readsOn)
 	assert.NilError(t, err, "a reader ahead of the cache waits")
 	assert.Equal(t, len(b.Removed), 0)
 	c.apply(Batch{Revision: 30}, 25, ticks.Now())
-	_, err = c.read(t.Context(), 12, 0, maxAge)
+	_, err = c.read(t.Context(), 12, 0, maxAge, readsOn)
 	assert.ErrorIs(t, err, ErrNotReading, "changes between 12 and 25 were missed")
 }
 
--- a/internal/site/intime_test.go
+++ b/internal/site/intime_test.go
@@ -43,6 +43,8 @@
 	// isReaderStale makes the other host take the reader for one, whatever that says of itself.
 	isReaderStale atomic.Bool
 	version       int
+	// pool is what the other host knows of the backend servers.
+	pool *pool.Pool
 }
 
 // link forwards connections on loopback and can hold or slow them.
@@ -145,8 +147,8 @@
 func (r rigReaders) Hosts() int              { return r.hosts }
 func (rigReaders) LostReader(string)         {}
 
-// follow runs a host's followers and returns its table.
-func (r *tableRig) follow(t *testing.T, m *mirror.Mirror, readers rigReaders, health *watch.Health) *policy.Holder {
+// follow runs a host's followers and returns its table and its backend servers.
+func (r *tableRig) follow(t *testing.T, m *mirror.Mirror, readers rigReaders, health *watch.Health) (*policy.Holder, *pool.Pool) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	g := gossip.New()
@@ -171,7 +173,7 @@
 		}
 		m.Link.Close()
 	})
-	return holder
+	return holder, p
 }
 
 // rigsStarted counts the rigs, which have an address each.
@@ -186,6 +188,11 @@
 	return int64(r.version)
 }
 
+// putServer writes the entry of a backend server.
+func (r *tableRig) putServer(id, state string) {
+	r.store.PutText("servers", id, fmt.Appendf(nil, `{"service":"model","address":"10.0.0.1:80","zone":"d1","slots":8,"state":%q}`, state))
+}
+
 // start starts both hosts and returns the table of the one that does not read the store.
 func (r *tableRig) start(t *testing.T) *policy.Holder {
 	t.Helper()
@@ -194,7 +201,7 @@
 	t.Cleanup(r.store.Close)
 	r.put(0)
 	for i := range 8 {
-		r.store.PutText("servers", fmt.Sprint("s", i), fmt.Appendf(nil, `{"service":"model","address":"10.0.0.%d:80","zone":"d1","slots":8,"state":"healthy"}`, i))
+		r.putServer(fmt.Sprint("s", i), "healthy")
 	}
 	r.settings.Platform.Regions = map[string]string{"d1": "east"}
 	r.toStore, r.directToStore = newLink(t, r.store.Address()), newLink(t, r.store.Address())
@@ -226,7 +233,8 @@
 		return mirror.Host{Name: "reader", Address: r.toReader.address}, r.hasReader && (isReading.Load() || r.isReaderStale.Load())
 	}}
 	m := newTestMirror(r.settings, platform.NewStore(r.directToStore.address, log), others, log)
-	holder := r.follow(t, m, others, &watch.Health{Log: log})
+	var holder *policy.Holder
+	holder, r.pool = r.follow(t, m, others, &watch.Health{Log: log})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if table, _ := holder.View(); table == nil || r.hasReader && !isReading.Load() {
 			return poll.Continue("the first table")
