fix(site): a reading host that hears late of backend servers is not relied on for longer than the deployment allows

If its connections to the store fall silent for a moment, its call for servers lasts 4 s before it fails. Its calls for the table fail sooner and go on, so that it counts as reading the store, and hosts that are in touch send to a leaving server for up to 4 s.

The new setting platform.server_apply, the platform's bounds.drainTimeoutMs, bounds the wait of a call for servers (a quarter of it), the time that it has beyond its wait (0.3) and the age up to which another host's servers count (0.6, at most 2.5 s), as platform.table_apply does for the table. Without the setting the times stay. A reading host calls the store for servers every 0.63 s instead of every 2 s on the small sites, every 1 to 1.25 s on the others.

Related paths read: evacuated failure domains, whose bound is 5 s, are known within the 4 s of a silent call and the next one; roll-outs' orders state no bound.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -27,8 +27,7 @@
 )
 
 const (
-	// maxAge is the age of the last confirmation up to which documents are passed on to other hosts. It exceeds twice
-	// the longest wait for changes.
+	// maxAge is the default of Mirror.MaxAges. It exceeds twice the longest wait for changes.
 	maxAge = 4500 * time.Millisecond
 	// maxReaderAge is the default of Mirror.MaxReaderAge.
 	maxReaderAge = 2500 * time.Millisecond
@@ -88,6 +87,8 @@
 	// MaxReaderAge is the age of the last confirmation up to which documents of ReaderKind are passed on to other hosts; 0 means
 	// 2.5 s. This kind is confirmed more often than others.
 	MaxReaderAge time.Duration
+	// MaxAges are the same for other kinds; 4.5 s for those that it does not hold.
+	MaxAges map[string]time.Duration
 	// MaxReaderDelay bounds how long a call for ReaderKind to another host may last beyond its wait while bytes arrive; 0 means
 	// no bound.
 	MaxReaderDelay time.Duration
@@ -300,6 +301,8 @@
 // maxAge returns the age of the last confirmation up to which documents of a kind are passed on.
 func (m *Mirror) maxAge(kind string) time.Duration {
 	switch {
+	case kind != m.ReaderKind && m.MaxAges[kind] > 0:
+		return m.MaxAges[kind]
 	case kind != m.ReaderKind:
 		return maxAge
 	case m.MaxReaderAge > 0:
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -53,9 +53,16 @@
 	maxStorePause  = 4 * time.Second
 	// maxReaderAge bounds that age where the time is long.
 	maxReaderAge = 2500 * time.Millisecond
-	// serversWait is the wait of one call for changed backend servers and failure domains. It bounds the age at which a
+	// serversWait bounds the wait of one call for changed backend servers and failure domains. It bounds the age at which a
 	// reading host passes them on.
 	serversWait = 2 * time.Second
+	// The parts of the time in which all hosts must know that a backend server leaves: the wait of a call for changed ones, the time
+	// that this call has beyond its wait, and the age up to which another host's servers count. A call that falls silent and the
+	// next one fit within the time, and so do servers of that age and a call. The age is twice the wait and more, so that a slow
+	// store does not make all hosts call it themselves.
+	serversWaitPart  = 0.25
+	serversSlackPart = 0.3
+	serversAgePart   = 0.6
 	// batchDelay is the pause that collects changes of backend servers into one call.
 	batchDelay = 60 * time.Millisecond
 	// keyAgeFraction is the fraction of the configured key age at which keys are refused; the rest is for the time that a
@@ -139,6 +146,7 @@
 func newMirror(s config.Settings, st *platform.Store, g *gossip.Gossip, health *watch.Health, log *slog.Logger) *mirror.Mirror {
 	m := &mirror.Mirror{Store: st, Readers: g, Link: &mirror.Link{}, ReaderKind: platform.KindTables, Log: log}
 	boundTableAge(s, m)
+	boundServersAge(s, m)
 	g.IsReading = func() bool { return m.IsReading(platform.KindTables) && !health.IsUnreachable() }
 	return m
 }
@@ -292,6 +300,26 @@
 	return time.Duration(part * float64(s.Platform.TableApply))
 }
 
+// serversPart returns a part of the time in which all hosts must know that a backend server leaves.
+func serversPart(s config.Settings, part float64) time.Duration {
+	return time.Duration(part * float64(s.Platform.ServerApply))
+}
+
+// serversWaitFor returns the wait of one call for changed backend servers.
+func serversWaitFor(s config.Settings) time.Duration {
+	if s.Platform.ServerApply == 0 {
+		return serversWait
+	}
+	return min(serversWait, serversPart(s, serversWaitPart))
+}
+
+// boundServersAge bounds how long a host relies on another one for the backend servers.
+func boundServersAge(s config.Settings, m *mirror.Mirror) {
+	if s.Platform.ServerApply > 0 {
+		m.MaxAges = map[string]time.Duration{platform.KindServers: min(maxReaderAge, serversPart(s, serversAgePart))}
+	}
+}
+
 // boundTableAge bounds how long a host relies on another one for the table.
 func boundTableAge(s config.Settings, m *mirror.Mirror) {
 	m.MaxReaderAge = min(maxReaderAge, applyPart(s, readerAgePart))
@@ -309,7 +337,7 @@
 func newServers(s config.Settings, m *mirror.Mirror, p *pool.Pool, health *watch.Health, syncStatus *watch.SyncStatus, g *gossip.Gossip, log *slog.Logger) *watch.Follower[pool.Server] {
 	return &watch.Follower[pool.Server]{
 		Kind: "backend servers", Source: platform.Servers{Store: m, Log: log, Regions: s.Platform.Regions, HasVersions: s.Platform.Rollout != nil},
-		Sink: &watch.Servers{Pool: p, Health: health, Log: log}, Wait: serversWait, BatchDelay: batchDelay, Health: health,
+		Sink: &watch.Servers{Pool: p, Health: health, Log: log}, Wait: serversWaitFor(s), Slack: serversPart(s, serversSlackPart), BatchDelay: batchDelay, Health: health,
 		SyncStatus: syncStatus, HasReader: hasReader(g), Log: log,
 	}
 }
--- a/internal/site/intime_test.go
+++ b/internal/site/intime_test.go
@@ -249,6 +249,7 @@
 func newTestMirror(s config.Settings, store mirror.Store, readers mirror.Readers, log *slog.Logger) *mirror.Mirror {
 	m := &mirror.Mirror{Store: store, Readers: readers, Link: &mirror.Link{}, ReaderKind: platform.KindTables, Log: log}
 	boundTableAge(s, m)
+	boundServersAge(s, m)
 	return m
 }
 
--- a/pkg/config/platform.go
+++ b/pkg/config/platform.go
@@ -13,6 +13,8 @@
 	KeyAge Duration `json:"key_age"`
 	// TableApply is the time from the store's confirmation of a table until every host must use it; 0 means no bound.
 	TableApply Duration `json:"table_apply"`
+	// ServerApply is the time from the store's confirmation that a backend server leaves until no host may send to it; 0 means no bound.
+	ServerApply Duration `json:"server_apply"`
 	// RetryRatio and RetryExtra are the retry budget of a service over all hosts: in any RetryWindow at most RetryRatio
 	// retries for each request, plus RetryExtra.
 	RetryRatio  float64  `json:"retry_ratio"`
@@ -52,6 +54,7 @@
 	c.require(len(p.Regions) > 0, "each failure domain with its region", "platform.regions")
 	c.require(p.KeyAge >= 0, "a duration of zero or more", "platform.key_age")
 	c.require(p.TableApply >= 0, "a duration of zero or more", "platform.table_apply")
+	c.require(p.ServerApply >= 0, "a duration of zero or more", "platform.server_apply")
 	c.require(p.RetryRatio >= 0, "zero or more", "platform.retry_ratio")
 	c.require(p.RetryExtra >= 0, "zero or more", "platform.retry_extra")
 	c.require(p.RetryWindow > 0, "a positive duration such as \"10s\"", "platform.retry_window")
