--- a/internal/fakes/plat/store.go
+++ b/internal/fakes/plat/store.go
@@ -32,6 +32,9 @@
 	Lossy
 )
 
+// pageBytes bounds the bytes of a response to a list that holds more than one item.
+const pageBytes = 1 << 20
+
 // Store is a fake of the platform's store; it must be closed with Close.
 type Store struct {
 	*httptest.Server
@@ -337,6 +340,10 @@
 	}
 	text := []byte(`{"items":[`)
 	for i, o := range items {
+		if i > 0 && len(text)+len(o.Spec) > pageBytes {
+			more = true
+			break
+		}
 		if i > 0 {
 			text = append(text, ',')
 		}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -33,8 +33,8 @@
 	maxReaderAge = 2500 * time.Millisecond
 	// loadWait is how long one call for a list waits at a host that is reading its first one.
 	loadWait = 300 * time.Millisecond
-	// listTimeout bounds a list from the store.
-	listTimeout = 3 * time.Second
+	// listTimeout bounds a list from the store, whose single calls end sooner: entries of other writers may make it long.
+	listTimeout = 8 * time.Second
 )
 
 // Document is one object of the store, still encoded.
