--- a/internal/canary/orders.go
+++ b/internal/canary/orders.go
@@ -3,10 +3,15 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 )
 
-// SetOrders takes the full list of the store's orders.
-func (t *Table) SetOrders(list []Order) {
+// rewriteTime is how long an order that a copy of the store lacks stays in force. The operators write again what they had written.
+const rewriteTime = 30 * time.Second
+
+// SetOrders takes the full list of the store's orders, at a revision of the store.
+func (t *Table) SetOrders(list []Order, revision int64) {
 	t.mu.Lock()
 	listed := make(map[string]bool, len(list))
 	for _, o := range list {
@@ -14,7 +19,11 @@
 		t.put(o)
 	}
 	for name, e := range t.rollouts {
-		if !listed[name] {
+		switch {
+		case listed[name]:
+		case epoch.FromOrdinal(revision).Era > epoch.FromOrdinal(e.order.Revision).Era:
+			e.lose(t.now())
+		default:
 			t.remove(name, e.order.Revision)
 		}
 	}
@@ -43,11 +52,42 @@
 // confirm records that the store has confirmed what is known; the caller holds the lock.
 func (t *Table) confirm() {
 	now := t.now()
-	for _, e := range t.rollouts {
+	for name, e := range t.rollouts {
 		e.Confirm(now)
+		if !e.lostAt.IsZero() && now.Sub(e.lostAt) > rewriteTime {
+			t.remove(name, e.order.Revision)
+		}
 	}
 }
 
+// lose records that a copy that the store has come back from lacks the order. It stays in force until it is written again, for
+// rewriteTime at most.
+func (e *entry) lose(now time.Time) {
+	if e.lostAt.IsZero() && !e.isWithdrawn {
+		e.lostAt = now
+	}
+}
+
+// isFromCopy takes an order that may be of a copy that the store has come back from, and reports whether it did: what is known of an
+// order stays, and a status that the copy lacks is written again; one that had disappeared before counts only if it was written again.
+func (t *Table) isFromCopy(known *entry, o Order) bool {
+	was, is := epoch.FromOrdinal(known.order.Revision), epoch.FromOrdinal(o.Revision)
+	if is.Era <= was.Era || o.Target != known.order.Target || o.Service != known.order.Service {
+		return false
+	}
+	if known.isWithdrawn {
+		return is.Revision == was.Revision
+	}
+	known.lostAt = time.Time{}
+	switch state := known.State(); state {
+	case Completed, Reverted:
+		known.heard = state
+	}
+	known.Update(o, t.now())
+	t.Log.Info("order read again after the store's return", "rollout", o.Name, "target", o.Target, "status", o.State().String(), "state", known.State().String())
+	return true
+}
+
 // put takes an order as the store has it; the caller holds the lock.
 func (t *Table) put(o Order) {
 	if t.rollouts == nil {
@@ -55,6 +95,9 @@
 	}
 	known := t.rollouts[o.Name]
 	now := t.now()
+	if known != nil && t.isFromCopy(known, o) {
+		return
+	}
 	isNew := known == nil || known.isWithdrawn && o.Revision > t.removed[o.Name] ||
 		o.Revision > known.order.Revision && (o.Target != known.order.Target || o.Service != known.order.Service ||
 			known.order.State().IsFinal() && !o.State().IsFinal())
--- a/internal/canary/table.go
+++ b/internal/canary/table.go
@@ -54,6 +54,8 @@
 
 	// since is the revision of the order that the evidence belongs to; reports of earlier ones are about another order.
 	since int64
+	// lostAt is since when the store, which has come back from a copy, lacks the order; zero while it holds it.
+	lostAt time.Time
 	// barred are the targets of earlier orders that were not completed.
 	barred []string
 	// finalAt is when the order ended.
--- a/internal/canary/table_test.go
+++ b/internal/canary/table_test.go
@@ -95,7 +95,7 @@
 // a service without an order whose new servers get none.
 func TestVersionBesideAnotherOneWaitsForAnOrder(t *testing.T) {
 	r := newRig(t)
-	r.SetOrders(nil)
+	r.SetOrders(nil, 0)
 	r.start("v1", 4)
 	r.pass(time.Second)
 	assert.DeepEqual(t, r.allowed(), map[string]int{"v1": 500})
@@ -119,7 +119,7 @@
 	r.start("v2", 2)
 	r.start("v1", 2)
 	assert.DeepEqual(t, r.allowed(), map[string]int{})
-	r.SetOrders(nil)
+	r.SetOrders(nil, 0)
 	r.pass(100 * time.Millisecond)
 	assert.DeepEqual(t, r.allowed(), map[string]int{"v2": 500})
 }
@@ -196,7 +196,7 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRig(t)
-			r.SetOrders(nil)
+			r.SetOrders(nil, 0)
 			r.start("v1", 4)
 			r.pass(time.Second)
 			r.start("v2", 4)
@@ -232,7 +232,7 @@
 	r := newRig(t)
 	o := order(6, "v2")
 	o.Status, o.StatusTarget = InProgress, "v2"
-	r.SetOrders([]Order{o})
+	r.SetOrders([]Order{o}, 0)
 	r.start("v1", 4)
 	r.start("v2", 4)
 	r.Merge([]Report{{
@@ -248,7 +248,7 @@
 // TestRepeatedRequestsGoToTheOldVersion guards against a second send to a version that has just failed.
 func TestRepeatedRequestsGoToTheOldVersion(t *testing.T) {
 	r := newRig(t)
-	r.SetOrders([]Order{order(5, "v2")})
+	r.SetOrders([]Order{order(5, "v2")}, 0)
 	r.start("v1", 4)
 	r.start("v2", 4)
 	r.pass(time.Second)
@@ -270,7 +270,7 @@
 	o := order(5, "v2")
 	// The load test, in which speeds don't count, begins after 40 s.
 	o.Duration = 200 * time.Second
-	r.SetOrders([]Order{o})
+	r.SetOrders([]Order{o}, 0)
 	r.pass(time.Second)
 	answer := func(s pool.Server, took time.Duration) {
 		sample := r.Sent("model", "report", s, 0)
@@ -301,7 +301,7 @@
 // one on so few that a good version looks slow.
 func TestTrialLoadsServersLikeOldOnes(t *testing.T) {
 	r := newRig(t)
-	r.SetOrders([]Order{order(5, "v2")})
+	r.SetOrders([]Order{order(5, "v2")}, 0)
 	r.start("v1", 60)
 	r.start("v2", 60)
 	r.pass(time.Second)
--- a/internal/canary/writer_test.go
+++ b/internal/canary/writer_test.go
@@ -52,7 +52,7 @@
 func hostOf(t *testing.T, store *statusStore, state State) (*rig, *Controller) {
 	t.Helper()
 	r := newRig(t)
-	r.SetOrders([]Order{store.order})
+	r.SetOrders([]Order{store.order}, 0)
 	r.start("v1", 4)
 	r.start("v2", 4)
 	r.pass(time.Second)
@@ -187,7 +187,7 @@
 	store := &silentStore{asked: make(chan struct{}, 1)}
 	r := newRig(t)
 	r.Now = time.Now
-	r.SetOrders([]Order{inProgress})
+	r.SetOrders([]Order{inProgress}, 0)
 	r.start("v1", 4)
 	c := &Controller{Table: r.Table, Store: store, IsReader: func() bool { return true }, Hosts: func() int { return 3 }, Log: r.Log}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/fakes/plat/store.go
+++ b/internal/fakes/plat/store.go
@@ -46,8 +46,12 @@
 	// compactedTo is the newest revision whose history has been dropped.
 	compactedTo int64
 	outage      Outage
-	calls       int
-	statuses    []string
+	// era is the store's era; 0 while it names none.
+	era int64
+	// writes are those of the operator and the servers, which calls over HTTP are not.
+	writes   []write
+	calls    int
+	statuses []string
 	// pageSize bounds the number of items in one response to a list.
 	pageSize int
 	// changed is closed and replaced at each change of objects, history or outage.
@@ -151,6 +155,7 @@
 func (s *Store) PutText(kind, name string, spec []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writes = append(s.writes, write{kind: kind, name: name, spec: spec})
 	s.put(kind, name, spec)
 }
 
@@ -175,6 +180,11 @@
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writes = append(s.writes, write{kind: kind, name: name, isDeleted: true})
+	s.delete(kind, name)
+}
+
+func (s *Store) delete(kind, name string) {
 	o, ok := s.objects[kind][name]
 	if !ok {
 		return
@@ -194,8 +204,11 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	outage := s.outage
+	outage, era := s.outage, s.era
 	s.mu.Unlock()
+	if era > 0 {
+		w.Header().Set(headerEra, strconv.FormatInt(era, 10))
+	}
 	switch outage {
 	case Busy:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -215,9 +228,9 @@
 	case r.Method == http.MethodDelete:
 		s.remove(w, kind, name)
 	case r.URL.Query().Has("watch"):
-		s.watch(w, r, kind)
+		s.watch(w, r, kind, era)
 	case name == "":
-		s.list(w, r, kind)
+		s.list(w, r, kind, era)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -313,19 +326,22 @@
 
 func (s *Store) remove(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
-	_, exists := s.objects[kind][name]
-	s.mu.Unlock()
-	if !exists {
+	defer s.mu.Unlock()
+	if _, exists := s.objects[kind][name]; !exists {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	s.Delete(kind, name)
+	s.delete(kind, name)
 	writeJSON(w, http.StatusOK, []byte("{}"))
 }
 
-func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
+func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string, era int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.era != era {
+		// The answer would name another era than that of its objects.
+		panic(http.ErrAbortHandler)
+	}
 	after := r.URL.Query().Get("sinceRevision")
 	items := []object{}
 	for _, o := range s.objects[kind] {
@@ -352,18 +368,18 @@
 	writeJSON(w, http.StatusOK, fmt.Appendf(text, `],"hasMore":%t,"at":%d}`, more, s.revision))
 }
 
-func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string, era int64) {
 	since, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
 	for {
 		s.mu.Lock()
-		events, revision, changed, isCompacted := s.eventsSince(kind, since), s.revision, s.changed, since < s.compactedTo
-		outage := s.outage
+		events, revision, changed, isCompacted := s.eventsSince(kind, since), s.revision, s.changed, since < s.compactedTo || s.era > 0 && since > s.revision
+		outage, isReturned := s.outage, s.era != era
 		s.mu.Unlock()
 		switch {
-		case outage != Up:
+		case outage != Up || isReturned:
 			panic(http.ErrAbortHandler)
 		case isCompacted:
 			w.WriteHeader(http.StatusGone)
--- a/internal/front/explain_test.go
+++ b/internal/front/explain_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonspur/tarragonspur/internal/cause"
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/watch"
@@ -90,7 +91,7 @@
 	return watch.Batch[string]{}, errors.New("status 503")
 }
 
-func (failingSource) Changes(context.Context, int64, time.Duration) (watch.Batch[string], error) {
+func (failingSource) Changes(context.Context, epoch.Position, time.Duration) (watch.Batch[string], error) {
 	return watch.Batch[string]{}, errors.New("status 503")
 }
 
--- a/internal/front/rollout_test.go
+++ b/internal/front/rollout_test.go
@@ -42,7 +42,7 @@
 		r.engines = append(r.engines, e)
 		r.Pool.Put(pool.Server{ID: e.ID, Service: service, Version: e.Version, Address: e.Address(), Domain: "d1", Region: "east", Slots: 8}, time.Now())
 	}
-	r.table.SetOrders([]canary.Order{{Name: service, Service: service, Target: "v2", Duration: time.Minute, Revision: 3}})
+	r.table.SetOrders([]canary.Order{{Name: service, Service: service, Target: "v2", Duration: time.Minute, Revision: 3}}, 0)
 	r.table.Look()
 	return r
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -61,6 +61,8 @@
 	listPeriod = 3 * time.Second
 	// registryTimeout bounds one call to the registry, which may answer without end.
 	registryTimeout = 3 * time.Second
+	// registerSpread is the time over which hosts register again once the store has come back from a copy.
+	registerSpread = time.Second
 )
 
 // Registry stores the addresses of all hosts.
@@ -69,6 +71,14 @@
 	Addresses(ctx context.Context) (map[string]netip.AddrPort, error)
 }
 
+// Eras reports the returns of the store from a copy, which lacks what was registered last.
+type Eras interface {
+	// Changes returns their number, and when this host learned of the last one.
+	Changes() (int, time.Time)
+	// OnChange calls f at each of them until remove is called.
+	OnChange(f func()) (remove func())
+}
+
 // Backlogs returns the requests that wait at this host, by service.
 type Backlogs interface {
 	Locals() map[string]queue.Backlog
@@ -86,6 +96,8 @@
 	// them to the relays of its failure domain, which pass on sums: the datagrams grow with the hosts, not with their square.
 	MeshHosts int
 	Registry  Registry
+	// Eras reports when the store has come back from a copy; nil if it never does.
+	Eras Eras
 	// Seeds are hosts to request introductions from; some may be stale or down.
 	Seeds []netip.AddrPort
 	// IsReading reports whether this host reads the store and can read it for others.
@@ -200,11 +212,26 @@
 
 // discover registers this host, and lists the others until it has discovered some and while it sees none.
 func (g *Gossip) discover(ctx context.Context) {
-	registered := false
+	registered, returns := false, 0
+	returned := make(chan struct{}, 1)
+	if g.Eras != nil {
+		returns, _ = g.Eras.Changes()
+		defer g.Eras.OnChange(func() {
+			select {
+			case returned <- struct{}{}:
+			default:
+			}
+		})()
+	}
 	if len(g.Seeds) > 0 {
 		ticks.Sleep(ctx, discoveryTime)
 	}
 	for ctx.Err() == nil {
+		if n := g.returns(); n != returns {
+			returns, registered = n, false
+			ticks.Sleep(ctx, time.Duration(rand.Float64()*float64(registerSpread)))
+			g.Log.Info("host registers again after the store's return")
+		}
 		if !registered && g.mustRegister() {
 			err := g.register(ctx)
 			registered = err == nil
@@ -215,10 +242,25 @@
 		if registered && (!g.hasDiscovered() || g.hasNoRecentPeer()) {
 			g.listRegistered(ctx)
 		}
-		ticks.Sleep(ctx, time.Duration((0.75+rand.Float64()/2)*float64(listPeriod)))
+		timer := time.NewTimer(time.Duration((0.75 + rand.Float64()/2) * float64(listPeriod)))
+		select {
+		case <-timer.C:
+		case <-returned:
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
 }
 
+// returns returns the number of the store's returns from a copy.
+func (g *Gossip) returns() int {
+	if g.Eras == nil {
+		return 0
+	}
+	n, _ := g.Eras.Changes()
+	return n
+}
+
 func (g *Gossip) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
--- a/internal/gossip/rollout_test.go
+++ b/internal/gossip/rollout_test.go
@@ -29,7 +29,7 @@
 				m.Pool.Put(target, time.Now())
 			}
 			// Most hosts learn of the order from others.
-			all[0].rollouts.SetOrders([]canary.Order{order})
+			all[0].rollouts.SetOrders([]canary.Order{order}, 0)
 			for _, m := range all {
 				eventually(t, m.Self+" to hear of the order", func() bool { return m.rollouts.Status().InForce == 1 })
 			}
--- a/internal/mirror/cache.go
+++ b/internal/mirror/cache.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
@@ -24,9 +25,12 @@
 	mu        sync.Mutex
 	documents map[string]Document
 	removed   []removal
-	// revision is the newest revision read; 0 means that the cache is invalid. removed is complete for the changes after
-	// oldest.
-	oldest, revision int64
+	// at is the newest position read; zero means that the cache is invalid. removed is complete for the changes after the revision
+	// oldest of its era.
+	at     epoch.Position
+	oldest int64
+	// eras is what this host knows of the store's era; a cache of an earlier one is about to be read again.
+	eras *epoch.Tracker
 	// confirmed is the reading of ticks.Now at which the store last confirmed revision.
 	confirmed time.Duration
 	// loading is the number of full lists that this host is reading from the store.
@@ -37,7 +41,16 @@
 	packed []*packedBatch
 }
 
-func newCache() *cache { return &cache{changed: make(chan struct{})} }
+func newCache(eras *epoch.Tracker) *cache {
+	c := &cache{eras: eras, changed: make(chan struct{})}
+	// The cache lives as long as the tracker.
+	_ = eras.OnChange(func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.notify()
+	})
+	return c
+}
 
 // replace sets the cache to a full list.
 func (c *cache) replace(b Batch, confirmed time.Duration) {
@@ -47,16 +60,16 @@
 	for _, d := range b.Changed {
 		c.documents[d.Name] = d
 	}
-	c.removed, c.oldest, c.revision, c.confirmed = nil, b.Revision, b.Revision, confirmed
+	c.removed, c.oldest, c.at, c.confirmed = nil, b.At.Revision, b.At, confirmed
 	c.notify()
 }
 
-// apply adds the changes that follow revision from. If the cache is not at that revision, it becomes invalid.
-func (c *cache) apply(b Batch, from int64, confirmed time.Duration) {
+// apply adds the changes that follow the position from. If the cache is not there, it becomes invalid.
+func (c *cache) apply(b Batch, from epoch.Position, confirmed time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.revision == 0 || c.revision != from {
-		c.revision = 0
+	if c.at.IsZero() || c.at != from {
+		c.at = epoch.Position{}
 		return
 	}
 	for _, d := range b.Changed {
@@ -64,13 +77,13 @@
 	}
 	for _, name := range b.Removed {
 		delete(c.documents, name)
-		c.removed = append(c.removed, removal{name: name, revision: b.Revision})
+		c.removed = append(c.removed, removal{name: name, revision: b.At.Revision})
 	}
 	if excess := len(c.removed) - maxRemoved; excess > 0 {
 		c.oldest = c.removed[excess-1].revision
 		c.removed = c.removed[excess:]
 	}
-	c.revision, c.confirmed = max(c.revision, b.Revision), confirmed
+	c.at, c.confirmed = c.at.Latest(b.At), confirmed
 	if len(b.Changed)+len(b.Removed) > 0 {
 		c.notify()
 	}
@@ -80,7 +93,7 @@
 func (c *cache) invalidate() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.revision = 0
+	c.at = epoch.Position{}
 }
 
 // load records that this host reads a full list from the store; loaded, that it has ended.
@@ -94,7 +107,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.loading--
-	if c.loading == 0 && c.revision == 0 {
+	if c.loading == 0 && c.at.IsZero() {
 		c.notify()
 	}
 }
@@ -105,18 +118,18 @@
 	c.changed = make(chan struct{})
 }
 
-// isAt reports whether the cache is at a revision.
-func (c *cache) isAt(revision int64) bool {
+// isAt reports whether the cache is at a position.
+func (c *cache) isAt(position epoch.Position) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision == revision
+	return c.at == position
 }
 
-// status returns the newest revision and the time since its confirmation; false if the cache is invalid.
-func (c *cache) status() (revision int64, age time.Duration, ok bool) {
+// status returns the time since the confirmation of the newest position; false if the cache is invalid.
+func (c *cache) status() (age time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision, ticks.Now() - c.confirmed, c.revision > 0
+	return ticks.Now() - c.confirmed, !c.at.IsZero()
 }
 
 // left returns the time until the last confirmation is older than maxAge, negative after that, and maxAge before the first one.
@@ -129,11 +142,11 @@
 	return maxAge - (ticks.Now() - c.confirmed)
 }
 
-// read returns all documents if since is 0, and otherwise the changes after it as soon as there are any; after wait it
+// read returns all documents if since is zero, and otherwise the changes after it as soon as there are any; after wait it
 // returns an empty batch. While this host reads the first list, read waits for it. The error is ErrNotReading, also as soon as
 // the last confirmation is older than maxAge or the host has stopped reading for others, ErrLoading, ErrHistoryGone or that of ctx.
 // The batch's age is that at the call. readsFor returns for how long the host reads for others if the store confirms nothing more.
-func (c *cache) read(ctx context.Context, since int64, wait, maxAge time.Duration, readsFor func() time.Duration) (Batch, error) {
+func (c *cache) read(ctx context.Context, since epoch.Position, wait, maxAge time.Duration, readsFor func() time.Duration) (Batch, error) {
 	asked, end := ticks.Now(), time.Now().Add(wait)
 	for {
 		waited := ticks.Now() - asked
@@ -144,7 +157,7 @@
 		b, changed, err := c.changesSince(since, maxAge)
 		isLoading := errors.Is(err, ErrLoading)
 		left := time.Until(end)
-		if !isLoading && (err != nil || since == 0 || len(b.Changed)+len(b.Removed) > 0) || left <= 0 {
+		if !isLoading && (err != nil || since.IsZero() || len(b.Changed)+len(b.Removed) > 0) || left <= 0 {
 			b.Age -= waited
 			return b, err
 		}
@@ -163,28 +176,30 @@
 	}
 }
 
-func (c *cache) changesSince(since int64, maxAge time.Duration) (Batch, <-chan struct{}, error) {
+func (c *cache) changesSince(since epoch.Position, maxAge time.Duration) (Batch, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age := ticks.Now() - c.confirmed
-	if c.revision == 0 && c.loading > 0 {
+	isOfPastEra := !c.at.IsZero() && c.at.Era < c.eras.Newest()
+	if isOfPastEra || c.at.IsZero() && c.loading > 0 {
+		// This host lists the documents anew as soon as it learns of an era, so that others need not.
 		return Batch{}, c.changed, ErrLoading
 	}
-	if c.revision == 0 || age > maxAge {
+	if c.at.IsZero() || age > maxAge || since.Era > c.at.Era {
 		return Batch{}, nil, ErrNotReading
 	}
-	if since != 0 && since < c.oldest {
+	if !since.IsZero() && (since.Era < c.at.Era || since.Revision < c.oldest) {
 		return Batch{}, nil, ErrHistoryGone
 	}
-	b := Batch{Revision: c.revision, Age: age}
+	b := Batch{At: c.at, Age: age}
 	for _, d := range c.documents {
-		if since == 0 || d.Revision > since {
+		if since.IsZero() || d.Revision > since.Revision {
 			b.Changed = append(b.Changed, d)
 		}
 	}
-	if since != 0 {
+	if !since.IsZero() {
 		for _, r := range c.removed {
-			if _, exists := c.documents[r.name]; r.revision > since && !exists {
+			if _, exists := c.documents[r.name]; r.revision > since.Revision && !exists {
 				b.Removed = append(b.Removed, r.name)
 			}
 		}
--- a/internal/mirror/codec.go
+++ b/internal/mirror/codec.go
@@ -24,7 +24,7 @@
 		return c.CodecV2.Marshal(v)
 	}
 	encoded, err := c.CodecV2.Marshal(&mirpb.ReadReply{
-		Revision: reply.GetRevision(), Changed: reply.GetChanged(), Removed: reply.GetRemoved(), AgeUs: reply.GetAgeUs(), HistoryGone: reply.GetHistoryGone(),
+		Era: reply.GetEra(), Revision: reply.GetRevision(), Changed: reply.GetChanged(), Removed: reply.GetRemoved(), AgeUs: reply.GetAgeUs(), HistoryGone: reply.GetHistoryGone(),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/mirror/crowd_test.go
+++ b/internal/mirror/crowd_test.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 	"github.com/tarragonspur/tarragonspur/internal/mirror/mirpb"
 )
 
@@ -69,7 +70,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			slow := &slowStore{pause: 3 * loadWait / 2, started: make(chan struct{})}
-			slow.batch, slow.err = Batch{Revision: 9000, Changed: crowdDocuments()}, tc.err
+			slow.batch, slow.err = Batch{At: epoch.Position{Revision: 9000}, Changed: crowdDocuments()}, tc.err
 			reader := newMirror(slow, &fakeReaders{})
 			host := serve(t, reader)
 			ended := make(chan error, 1)
@@ -160,16 +161,16 @@
 // startCrowdReader starts a host that reads for a region and has packed its list, which takes time beside other work.
 func startCrowdReader(t *testing.T) *pipe {
 	t.Helper()
-	reader := newMirror(&fakeStore{batch: Batch{Revision: 9000, Changed: crowdDocuments()}}, &fakeReaders{})
+	reader := newMirror(&fakeStore{batch: Batch{At: epoch.Position{Revision: 9000}, Changed: crowdDocuments()}}, &fakeReaders{})
 	b, err := reader.List(t.Context(), "servers")
 	assert.NilError(t, err)
-	_, err = reader.cache("servers").pack(b, 0)
+	_, err = reader.cache("servers").pack(b, epoch.Position{})
 	assert.NilError(t, err)
 	return startPipe(t, serve(t, reader).Address)
 }
 
 func TestHostsThatReadNoPackedDocumentsReceiveThemPlain(t *testing.T) {
-	store := &fakeStore{batch: Batch{Revision: 9000, Changed: crowdDocuments()}}
+	store := &fakeStore{batch: Batch{At: epoch.Position{Revision: 9000}, Changed: crowdDocuments()}}
 	reader := newMirror(store, &fakeReaders{})
 	_, err := reader.List(t.Context(), "servers")
 	assert.NilError(t, err)
@@ -177,8 +178,8 @@
 	for _, d := range store.batch.Changed[:100] {
 		gone = append(gone, d.Name)
 	}
-	store.batch = Batch{Revision: 9001, Removed: gone}
-	_, err = reader.Changes(t.Context(), "servers", 9000, 0)
+	store.batch = Batch{At: epoch.Position{Revision: 9001}, Removed: gone}
+	_, err = reader.Changes(t.Context(), "servers", epoch.Position{Revision: 9000}, 0)
 	assert.NilError(t, err)
 	server := &Server{Mirror: reader}
 	for _, tc := range []struct {
@@ -211,11 +212,11 @@
 	link := &Link{}
 	t.Cleanup(link.Close)
 	host := Host{Name: "reader", Address: p.address}
-	_, err := link.Read(t.Context(), host, question{kind: "servers", since: 9000})
+	_, err := link.Read(t.Context(), host, question{kind: "servers", since: epoch.Position{Revision: 9000}})
 	assert.NilError(t, err)
 	ended := make(chan error, 1)
 	go func() {
-		_, err := link.Read(t.Context(), host, question{kind: "servers", since: 9000, wait: 10 * time.Millisecond})
+		_, err := link.Read(t.Context(), host, question{kind: "servers", since: epoch.Position{Revision: 9000}, wait: 10 * time.Millisecond})
 		ended <- err
 	}()
 	began := time.Now()
@@ -233,14 +234,14 @@
 }
 
 func TestHostThatDoesNotReadOneKindEndsNoOtherCalls(t *testing.T) {
-	reader := newMirror(&fakeStore{batch: Batch{Revision: 10}}, &fakeReaders{})
+	reader := newMirror(&fakeStore{batch: Batch{At: epoch.Position{Revision: 10}}}, &fakeReaders{})
 	_, err := reader.List(t.Context(), "config")
 	assert.NilError(t, err)
 	link, host := &Link{}, serve(t, reader)
 	t.Cleanup(link.Close)
 	ended := make(chan error, 1)
 	go func() {
-		_, err := link.Read(t.Context(), host, question{kind: "config", since: 10, wait: 500 * time.Millisecond})
+		_, err := link.Read(t.Context(), host, question{kind: "config", since: epoch.Position{Revision: 10}, wait: 500 * time.Millisecond})
 		ended <- err
 	}()
 	time.Sleep(100 * time.Millisecond)
@@ -258,7 +259,7 @@
 		table = fmt.Appendf(table, `{"name":"r-%06x","host":"h%d.example","pathPrefix":"/p%d/","routeKind":"idempotent","timeoutMs":%d,"targetLatencyMs":200,`+
 			`"priority":3,"maxAttempts":2,"service":"huvo11a","public":false,"sticky":false,"allowedRegions":[]},`, i*7919%(1<<24), i%7, i*31%997, 1500+i)
 	}
-	store := &fakeStore{batch: Batch{Revision: 10, Changed: []Document{{Name: "main", Revision: 9, Body: table}}}}
+	store := &fakeStore{batch: Batch{At: epoch.Position{Revision: 10}, Changed: []Document{{Name: "main", Revision: 9, Body: table}}}}
 	reader := newMirror(store, &fakeReaders{})
 	_, err := reader.List(t.Context(), "config")
 	assert.NilError(t, err)
@@ -290,7 +291,7 @@
 	from := Host{Name: "reader", Address: p.address}
 	for i := range links {
 		t.Cleanup(links[i].Close)
-		_, err := links[i].Read(t.Context(), from, question{kind: "servers", since: 9000})
+		_, err := links[i].Read(t.Context(), from, question{kind: "servers", since: epoch.Position{Revision: 9000}})
 		assert.NilError(t, err)
 	}
 	p.isHeld.Store(true)
@@ -299,7 +300,7 @@
 	ended := make(chan error, crowdHosts)
 	for i := range links {
 		go func() {
-			_, err := links[i].Read(ctx, from, question{kind: "servers", since: 0, wait: 10 * time.Second})
+			_, err := links[i].Read(ctx, from, question{kind: "servers", since: epoch.Position{Revision: 0}, wait: 10 * time.Second})
 			ended <- err
 		}()
 	}
--- a/internal/mirror/link.go
+++ b/internal/mirror/link.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 	"github.com/tarragonspur/tarragonspur/internal/intake"
 	"github.com/tarragonspur/tarragonspur/internal/mirror/mirpb"
 )
@@ -40,10 +41,10 @@
 	conns map[Host]*conn
 }
 
-// question is what one host reads from another: all documents of a kind (since 0), or changes after a revision.
+// question is what one host reads from another: all documents of a kind (since zero), or changes after a position.
 type question struct {
 	kind  string
-	since int64
+	since epoch.Position
 	wait  time.Duration
 	// maxDelay bounds how long the answer may take beyond the wait while bytes arrive; 0 means no bound.
 	maxDelay time.Duration
@@ -65,7 +66,7 @@
 		defer timer.Stop()
 	}
 	reply, err := mirpb.NewMirrorClient(conn).Read(ctx, &mirpb.ReadRequest{
-		Kind: q.kind, Since: q.since, WaitMs: q.wait.Milliseconds(), AcceptsPacked: true,
+		Kind: q.kind, Since: q.since.Revision, SinceEra: q.since.Era, WaitMs: q.wait.Milliseconds(), AcceptsPacked: true,
 	})
 	if status.Code(err) == codes.Aborted {
 		return Batch{}, ErrLoading
@@ -74,8 +75,8 @@
 		return Batch{}, errors.Wrapf(ErrNotReading, "host %s", from.Name)
 	}
 	if err != nil {
-		// An error that the host returns, which has the code Unknown, is none of the connection.
-		if status.Code(err) != codes.Unknown {
+		// An error that the host returns, which has the code Unknown, is none of the connection, nor is the end of an era.
+		if status.Code(err) != codes.Unknown && !errors.Is(context.Cause(ctx), ErrHistoryGone) {
 			l.closeConn(from, conn)
 		}
 		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errSlow) {
@@ -86,7 +87,10 @@
 	if reply.GetHistoryGone() {
 		return Batch{}, ErrHistoryGone
 	}
-	b := Batch{Revision: reply.GetRevision(), Removed: reply.GetRemoved(), Age: time.Duration(reply.GetAgeUs()) * time.Microsecond}
+	b := Batch{
+		At:      epoch.Position{Era: reply.GetEra(), Revision: reply.GetRevision()},
+		Removed: reply.GetRemoved(), Age: time.Duration(reply.GetAgeUs()) * time.Microsecond,
+	}
 	b.Changed = decodeDocuments(reply.GetChanged())
 	if len(reply.GetPacked()) > 0 {
 		documents, err := unpackDocuments(reply.GetPacked())
@@ -156,7 +160,8 @@
 // Read returns documents that this host has read from the store.
 func (s *Server) Read(ctx context.Context, in *mirpb.ReadRequest) (*mirpb.ReadReply, error) {
 	c := s.Mirror.cache(in.GetKind())
-	b, err := c.read(ctx, in.GetSince(), time.Duration(in.GetWaitMs())*time.Millisecond, s.Mirror.maxAge(in.GetKind()), s.Mirror.readsFor)
+	since := epoch.Position{Era: in.GetSinceEra(), Revision: in.GetSince()}
+	b, err := c.read(ctx, since, time.Duration(in.GetWaitMs())*time.Millisecond, s.Mirror.maxAge(in.GetKind()), s.Mirror.readsFor)
 	if errors.Is(err, ErrHistoryGone) {
 		return &mirpb.ReadReply{HistoryGone: true}, nil
 	}
@@ -169,9 +174,9 @@
 	if err != nil {
 		return nil, err
 	}
-	reply := &mirpb.ReadReply{Revision: b.Revision, AgeUs: b.Age.Microseconds()}
+	reply := &mirpb.ReadReply{Era: b.At.Era, Revision: b.At.Revision, AgeUs: b.Age.Microseconds()}
 	if in.GetAcceptsPacked() && b.isWorthPacking() {
-		reply.Packed, err = c.pack(b, in.GetSince())
+		reply.Packed, err = c.pack(b, since)
 		return reply, err
 	}
 	reply.Changed, reply.Removed = encodeDocuments(b.Changed), b.Removed
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
@@ -46,9 +47,9 @@
 
 // Batch is all documents of a kind or the changes after a revision.
 type Batch struct {
-	Revision int64
-	Changed  []Document
-	Removed  []string
+	At      epoch.Position
+	Changed []Document
+	Removed []string
 	// Age is an upper bound of the time from the store's confirmation of the batch until the call for it; negative if the store
 	// confirmed it during the call.
 	Age time.Duration
@@ -59,7 +60,8 @@
 	// List returns all documents of a kind.
 	List(ctx context.Context, kind string) (Batch, error)
 	// Changes waits for changes after a revision; it returns an empty batch if there are none within the wait.
-	Changes(ctx context.Context, kind string, since int64, wait time.Duration) (Batch, error)
+	// The error is ErrHistoryGone if the position is of another era than the store's.
+	Changes(ctx context.Context, kind string, since epoch.Position, wait time.Duration) (Batch, error)
 }
 
 // Readers selects the hosts that read the store.
@@ -82,6 +84,8 @@
 	Store   Store
 	Readers Readers
 	Link    *Link
+	// Eras is what this host knows of the store's era.
+	Eras *epoch.Tracker
 	// ReaderKind is the kind that decides whether a host counts as reading the store.
 	ReaderKind string
 	// MaxReaderAge is the age of the last confirmation up to which documents of ReaderKind are passed on to other hosts; 0 means
@@ -135,7 +139,7 @@
 
 // List returns all documents of a kind; ErrNotReading if this host must not call the store now.
 func (m *Mirror) List(ctx context.Context, kind string) (Batch, error) {
-	if b, err := m.readFromPeer(ctx, kind, 0, loadWait); err == nil || errors.Is(err, ErrLoading) {
+	if b, err := m.readFromPeer(ctx, kind, epoch.Position{}, loadWait); err == nil || errors.Is(err, ErrLoading) {
 		return b, err
 	}
 	if !m.Readers.MayRead() || m.isBackingOff() || m.awaitsReader() {
@@ -206,8 +210,23 @@
 	}
 }
 
-// Changes waits for changes after a revision; ErrHistoryGone means that a full list is needed.
-func (m *Mirror) Changes(ctx context.Context, kind string, since int64, wait time.Duration) (Batch, error) {
+// Changes waits for changes after a position; ErrHistoryGone means that a full list is needed, also as soon as the position's era has
+// ended.
+func (m *Mirror) Changes(ctx context.Context, kind string, since epoch.Position, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer m.Eras.OnChange(func() { cancel(ErrHistoryGone) })()
+	if since.Era < m.Eras.Newest() {
+		return Batch{}, ErrHistoryGone
+	}
+	b, err := m.changes(ctx, kind, since, wait)
+	if err != nil && errors.Is(context.Cause(ctx), ErrHistoryGone) {
+		return Batch{}, errors.CombineErrors(ErrHistoryGone, err)
+	}
+	return b, err
+}
+
+func (m *Mirror) changes(ctx context.Context, kind string, since epoch.Position, wait time.Duration) (Batch, error) {
 	b, err := m.readFromPeer(ctx, kind, since, wait)
 	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrLoading) {
 		return b, err
@@ -231,6 +250,10 @@
 	}
 	began, calledAt := ticks.Now(), time.Now()
 	b, err = m.Store.Changes(ctx, kind, since, wait)
+	if err != nil && errors.Is(context.Cause(ctx), ErrHistoryGone) {
+		// A call that was ended for a new era is no failure of the store.
+		err = errors.CombineErrors(ErrHistoryGone, err)
+	}
 	m.recordOutcome(calledAt, err)
 	switch {
 	case err == nil:
@@ -243,12 +266,15 @@
 
 // readFromPeer reads from the host that reads the store for this one; ErrNotReading means that there is none or it failed,
 // ErrLoading that it will have the documents soon.
-func (m *Mirror) readFromPeer(ctx context.Context, kind string, since int64, wait time.Duration) (Batch, error) {
+func (m *Mirror) readFromPeer(ctx context.Context, kind string, since epoch.Position, wait time.Duration) (Batch, error) {
 	reader, ok := m.Readers.Reader()
 	if !ok || m.isAvoided(reader.Name, kind) {
 		return Batch{}, ErrNotReading
 	}
 	b, err := m.Link.Read(ctx, reader, m.question(kind, since, wait))
+	if err == nil {
+		err = m.Eras.Observe(b.At.Era)
+	}
 	if err == nil && b.Age > m.maxAge(kind) {
 		err = errors.Newf("documents of host %s are %s old", reader.Name, b.Age)
 	}
@@ -288,7 +314,7 @@
 
 // IsReading reports whether this host can read for others: the store itself has confirmed its documents recently.
 func (m *Mirror) IsReading(kind string) bool {
-	_, age, ok := m.cache(kind).status()
+	age, ok := m.cache(kind).status()
 	return ok && age <= m.maxAge(kind)
 }
 
@@ -313,7 +339,7 @@
 }
 
 // question returns the question to another host.
-func (m *Mirror) question(kind string, since int64, wait time.Duration) question {
+func (m *Mirror) question(kind string, since epoch.Position, wait time.Duration) question {
 	q := question{kind: kind, since: since, wait: wait}
 	if kind == m.ReaderKind {
 		q.maxDelay = m.MaxReaderDelay
@@ -329,7 +355,7 @@
 	}
 	c := m.kinds[kind]
 	if c == nil {
-		c = newCache()
+		c = newCache(m.Eras)
 		m.kinds[kind] = c
 	}
 	return c
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -14,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
@@ -29,7 +29,7 @@
 	return b.batch, b.err
 }
 
-func (b *fakeStore) Changes(context.Context, string, int64, time.Duration) (Batch, error) {
+func (b *fakeStore) Changes(context.Context, string, epoch.Position, time.Duration) (Batch, error) {
 	b.calls++
 	return b.batch, b.err
 }
@@ -68,7 +68,8 @@
 }
 
 func newMirror(st Store, r Readers) *Mirror {
-	return &Mirror{Store: st, Readers: r, Link: &Link{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	log := slog.New(slog.DiscardHandler)
+	return &Mirror{Store: st, Readers: r, Link: &Link{}, Eras: &epoch.Tracker{Log: log}, Log: log}
 }
 
 func document(name string, revision int64) Document {
@@ -103,7 +104,7 @@
 }
 
 func TestHostReadsTheStoreThroughItsReader(t *testing.T) {
-	store := &fakeStore{batch: Batch{Revision: 10, Changed: []Document{document("a", 3), document("b", 9)}}}
+	store := &fakeStore{batch: Batch{At: epoch.Position{Revision: 10}, Changed: []Document{document("a", 3), document("b", 9)}}}
 	reader := newMirror(store, &fakeReaders{})
 	_, err := reader.List(t.Context(), "k")
 	assert.NilError(t, err)
@@ -115,15 +116,15 @@
 	b, err := follower.List(t.Context(), "k")
 	assert.NilError(t, err)
 	assert.Equal(t, len(b.Changed), 2)
-	assert.Equal(t, b.Revision, int64(10))
+	assert.Equal(t, b.At.Revision, int64(10))
 	assert.Assert(t, b.Age > 0 && b.Age < time.Second)
 
-	store.batch = Batch{Revision: 12, Changed: []Document{document("c", 12)}, Removed: []string{"a"}}
+	store.batch = Batch{At: epoch.Position{Revision: 12}, Changed: []Document{document("c", 12)}, Removed: []string{"a"}}
 	go func() {
 		time.Sleep(50 * time.Millisecond)
-		_, _ = reader.Changes(context.Background(), "k", 10, 0)
+		_, _ = reader.Changes(context.Background(), "k", epoch.Position{Revision: 10}, 0)
 	}()
-	b, err = follower.Changes(t.Context(), "k", 10, 2*time.Second)
+	b, err = follower.Changes(t.Context(), "k", epoch.Position{Revision: 10}, 2*time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, b.Changed[0].Name, "c")
 	assert.DeepEqual(t, b.Removed, []string{"a"})
@@ -148,20 +149,20 @@
 		{"reader that has read nothing", func(t *testing.T) Host { return serve(t, newMirror(&fakeStore{}, &fakeReaders{})) }},
 		{"reader whose documents are too old", func(t *testing.T) Host {
 			m := newMirror(&fakeStore{}, &fakeReaders{})
-			m.cache("k").replace(Batch{Revision: 5}, ticks.Now()-2*maxAge)
+			m.cache("k").replace(Batch{At: epoch.Position{Revision: 5}}, ticks.Now()-2*maxAge)
 			return serve(t, m)
 		}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			host := tc.reader(t)
-			store := &fakeStore{batch: Batch{Revision: 7}}
+			store := &fakeStore{batch: Batch{At: epoch.Position{Revision: 7}}}
 			m := newMirror(store, &fakeReaders{host: &host})
 			t.Cleanup(m.Link.Close)
-			b, err := m.Changes(t.Context(), "k", 5, 10*time.Millisecond)
+			b, err := m.Changes(t.Context(), "k", epoch.Position{Revision: 5}, 10*time.Millisecond)
 			assert.NilError(t, err)
-			assert.Equal(t, b.Revision, int64(7))
-			_, err = m.Changes(t.Context(), "k", 7, 10*time.Millisecond)
+			assert.Equal(t, b.At.Revision, int64(7))
+			_, err = m.Changes(t.Context(), "k", epoch.Position{Revision: 7}, 10*time.Millisecond)
 			assert.NilError(t, err)
 			assert.Equal(t, store.calls, 2)
 		})
@@ -172,32 +173,32 @@
 func readsOn() time.Duration { return time.Hour }
 
 func TestCacheRejectsRevisionsOutsideItsHistory(t *testing.T) {
-	c := newCache()
-	_, err := c.read(t.Context(), 0, 0, maxAge, readsOn)
+	c := newCache(&epoch.Tracker{Log: slog.New(slog.DiscardHandler)})
+	_, err := c.read(t.Context(), epoch.Position{}, 0, maxAge, readsOn)
 	assert.ErrorIs(t, err, ErrNotReading)
-	c.replace(Batch{Revision: 10, Changed: []Document{document("a", 3)}}, ticks.Now())
-	_, err = c.read(t.Context(), 9, 0, maxAge, readsOn)
+	c.replace(Batch{At: epoch.Position{Revision: 10}, Changed: []Document{document("a", 3)}}, ticks.Now())
+	_, err = c.read(t.Context(), epoch.Position{Revision: 9}, 0, maxAge, readsOn)
 	assert.ErrorIs(t, err, ErrHistoryGone, "removals before the list are not kept")
-	c.apply(Batch{Revision: 12, Removed: []string{"a"}}, 10, ticks.Now())
-	b, err := c.read(t.Context(), 10, 0, maxAge, readsOn)
+	c.apply(Batch{At: epoch.Position{Revision: 12}, Removed: []string{"a"}}, epoch.Position{Revision: 10}, ticks.Now())
+	b, err := c.read(t.Context(), epoch.Position{Revision: 10}, 0, maxAge, readsOn)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, b.Removed, []string{"a"})
-	b, err = c.read(t.Context(), 20, 0, maxAge, readsOn)
+	b, err = c.read(t.Context(), epoch.Position{Revision: 20}, 0, maxAge, readsOn)
 	assert.NilError(t, err, "a reader ahead of the cache waits")
 	assert.Equal(t, len(b.Removed), 0)
-	c.apply(Batch{Revision: 30}, 25, ticks.Now())
-	_, err = c.read(t.Context(), 12, 0, maxAge, readsOn)
+	c.apply(Batch{At: epoch.Position{Revision: 30}}, epoch.Position{Revision: 25}, ticks.Now())
+	_, err = c.read(t.Context(), epoch.Position{Revision: 12}, 0, maxAge, readsOn)
 	assert.ErrorIs(t, err, ErrNotReading, "changes between 12 and 25 were missed")
 }
 
 func TestNewReaderListsBeforeItReadsChanges(t *testing.T) {
-	store := &fakeStore{batch: Batch{Revision: 7}}
+	store := &fakeStore{batch: Batch{At: epoch.Position{Revision: 7}}}
 	m := newMirror(store, &fakeReaders{})
-	_, err := m.Changes(t.Context(), "k", 5, 0)
+	_, err := m.Changes(t.Context(), "k", epoch.Position{Revision: 5}, 0)
 	assert.ErrorIs(t, err, ErrHistoryGone)
 	_, err = m.List(t.Context(), "k")
 	assert.NilError(t, err)
-	_, err = m.Changes(t.Context(), "k", 7, 0)
+	_, err = m.Changes(t.Context(), "k", epoch.Position{Revision: 7}, 0)
 	assert.NilError(t, err)
 	assert.Assert(t, m.IsReading("k"))
 }
@@ -250,7 +251,7 @@
 		{"others of a small deployment", &fakeReaders{hosts: 83, isFollower: true}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			store := &fakeStore{batch: Batch{Revision: 3}}
+			store := &fakeStore{batch: Batch{At: epoch.Position{Revision: 3}}}
 			m := newMirror(store, tc.reads)
 			_, err := m.List(t.Context(), "servers")
 			assert.Equal(t, errors.Is(err, ErrNotReading), tc.waits)
@@ -308,18 +309,18 @@
 		{"not confirmed during the wait", false, wait * 3 / 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			reader := newMirror(&fakeStore{batch: Batch{Revision: 10}}, &fakeReaders{})
+			reader := newMirror(&fakeStore{batch: Batch{At: epoch.Position{Revision: 10}}}, &fakeReaders{})
 			_, err := reader.List(t.Context(), "k")
 			assert.NilError(t, err)
 			host := serve(t, reader)
 			follower := newMirror(&fakeStore{err: errors.New("not to be called")}, &fakeReaders{host: &host})
 			t.Cleanup(follower.Link.Close)
 			if tc.confirmsWhile {
-				confirmations := time.AfterFunc(wait*3/4, func() { _, _ = reader.Changes(context.Background(), "k", 10, 0) })
+				confirmations := time.AfterFunc(wait*3/4, func() { _, _ = reader.Changes(context.Background(), "k", epoch.Position{Revision: 10}, 0) })
 				t.Cleanup(func() { confirmations.Stop() })
 			}
 			began := ticks.Now()
-			b, err := follower.Changes(t.Context(), "k", 10, wait)
+			b, err := follower.Changes(t.Context(), "k", epoch.Position{Revision: 10}, wait)
 			ended := ticks.Now()
 			assert.NilError(t, err)
 			confirmed := began - b.Age
--- a/internal/mirror/pack.go
+++ b/internal/mirror/pack.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 	"github.com/tarragonspur/tarragonspur/internal/mirror/mirpb"
 )
 
@@ -34,7 +35,7 @@
 
 // packedBatch is a batch that is encoded and compressed by the first caller and shared by all others.
 type packedBatch struct {
-	revision, since int64
+	at, since epoch.Position
 
 	once  sync.Once
 	bytes []byte
@@ -42,21 +43,21 @@
 }
 
 // pack returns the batch's documents in packed form. The cache keeps the result for the next callers.
-func (c *cache) pack(b Batch, since int64) ([]byte, error) {
-	p := c.packedBatch(b.Revision, since)
+func (c *cache) pack(b Batch, since epoch.Position) ([]byte, error) {
+	p := c.packedBatch(b.At, since)
 	p.once.Do(func() { p.bytes, p.err = packDocuments(b) })
 	return p.bytes, p.err
 }
 
-func (c *cache) packedBatch(revision, since int64) *packedBatch {
+func (c *cache) packedBatch(at, since epoch.Position) *packedBatch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range c.packed {
-		if p.revision == revision && p.since == since {
+		if p.at == at && p.since == since {
 			return p
 		}
 	}
-	p := &packedBatch{revision: revision, since: since}
+	p := &packedBatch{at: at, since: since}
 	if len(c.packed) == maxPackedBatches {
 		c.packed = c.packed[1:]
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -107,12 +107,15 @@
 }
 
 // Remove removes a backend server at once or, if at is in the future, makes it unavailable from then on unless it is put
-// again. The delay is for entries that may have expired only because the store was unavailable.
+// again; a removal time that was set before stays. The delay is for entries that may have expired only because the store was
+// unavailable.
 func (p *Pool) Remove(id string, at, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.servers[id]; e != nil && at.After(now) {
-		e.removeAt = at
+		if e.removeAt.IsZero() {
+			e.removeAt = at
+		}
 		return
 	}
 	p.remove(id)
@@ -170,6 +173,13 @@
 	}
 }
 
+// Evacuated returns the failure domains that operators have evacuated, sorted.
+func (p *Pool) Evacuated() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.evacuated))
+}
+
 // SetRemoteLoads replaces the loads by one other host, by backend server ID.
 func (p *Pool) SetRemoteLoads(host string, loads map[string]Load) {
 	p.mu.Lock()
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -23,6 +23,8 @@
 	ColdRemaining time.Duration
 	// StartedMS is the start time of this incarnation in Unix milliseconds; 0 if unknown.
 	StartedMS int64
+	// Sequence rises with what the server writes about itself in this incarnation; 0 if unknown.
+	Sequence int64
 }
 
 // Load is the work of one or several hosts at one backend server.
--- a/internal/recall/recall.go
+++ b/internal/recall/recall.go
@@ -19,6 +19,8 @@
 	maxRetryDelay = 8 * time.Second
 	// callTimeout bounds one call to the store.
 	callTimeout = 3 * time.Second
+	// maxCopyAge is how long a removed key is remembered. The copies that stores come back from are some seconds old.
+	maxCopyAge = time.Minute
 )
 
 // Saved is the evidence of a quarantined key as of a time.
@@ -36,13 +38,25 @@
 	Remove(ctx context.Context, key uint64) error
 }
 
+// Eras reports the returns of the store from a copy.
+type Eras interface {
+	// Changes returns their number, and when this host learned of the last one.
+	Changes() (int, time.Time)
+}
+
 // Keeper reads the saved evidence when a host starts, and saves what the host finds out. Its exported fields are set before Run.
 type Keeper struct {
 	Table *crash.Table
 	Store Store
-	Log   *slog.Logger
+	// Eras reports when the store has come back from a copy, which may lack what was saved and hold what was removed.
+	Eras Eras
+	Log  *slog.Logger
 
 	failures int
+	// returns is the number of returns of the store for which this host has written its keys again.
+	returns int
+	// written are the keys that this host has saved or removed, with the time of their removal, zero for saved ones.
+	written map[uint64]time.Time
 }
 
 // Name implements site.Controller.
@@ -54,6 +68,7 @@
 		if !isLoaded {
 			isLoaded = k.load(ctx)
 		}
+		k.rewrite()
 		k.save(ctx)
 		if !ticks.Sleep(ctx, k.pause()) {
 			return nil
@@ -87,25 +102,50 @@
 	return true
 }
 
+// rewrite makes the keys that this host has written be written again once the store has come back from a copy. Each key is the matter of
+// the host that has written it last; those of hosts that are gone are not written again.
+func (k *Keeper) rewrite() {
+	returns, _ := k.Eras.Changes()
+	if returns == k.returns {
+		return
+	}
+	k.returns = returns
+	for key, removedAt := range k.written {
+		if !removedAt.IsZero() && time.Since(removedAt) > maxCopyAge {
+			delete(k.written, key)
+			continue
+		}
+		k.Table.MarkUnsaved(key)
+	}
+	if len(k.written) > 0 {
+		k.Log.Info("quarantined keys are written again", "count", len(k.written))
+	}
+}
+
 // save writes the changes that this host has found out.
 func (k *Keeper) save(ctx context.Context) {
 	quarantined, ended := k.Table.TakeUnsaved()
 	for _, e := range quarantined {
-		k.change(ctx, e.Key, "quarantined key saved", func(ctx context.Context) error { return k.Store.Save(ctx, Saved{At: time.Now(), Evidence: e}) })
+		k.change(ctx, e.Key, time.Time{}, "quarantined key saved", func(ctx context.Context) error { return k.Store.Save(ctx, Saved{At: time.Now(), Evidence: e}) })
 	}
 	for _, key := range ended {
-		k.change(ctx, key, "quarantined key removed", func(ctx context.Context) error { return k.Store.Remove(ctx, key) })
+		k.change(ctx, key, time.Now(), "quarantined key removed", func(ctx context.Context) error { return k.Store.Remove(ctx, key) })
 	}
 }
 
-// change makes one call that changes a key's entry, and logs done; a call that fails is made again later.
-func (k *Keeper) change(ctx context.Context, key uint64, done string, call func(context.Context) error) {
+// change makes one call that changes a key's entry, and logs done; a call that fails is made again later. removedAt is zero for a key that
+// is saved.
+func (k *Keeper) change(ctx context.Context, key uint64, removedAt time.Time, done string, call func(context.Context) error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if !k.record(ctx, call(callCtx)) {
 		k.Table.MarkUnsaved(key)
 		return
 	}
+	if k.written == nil {
+		k.written = make(map[uint64]time.Time)
+	}
+	k.written[key] = removedAt
 	k.Log.Info(done, "key", key)
 }
 
--- a/internal/recall/recall_test.go
+++ b/internal/recall/recall_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 	"github.com/tarragonspur/tarragonspur/internal/recall"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
@@ -27,6 +28,7 @@
 	// later is added to the table's time.
 	later atomic.Int64
 	kill  func()
+	eras  *epoch.Tracker
 }
 
 // start starts a host; kill ends it without a word.
@@ -37,7 +39,9 @@
 		Host: name, Log: slog.New(slog.DiscardHandler),
 		Now: func() time.Duration { return time.Hour + ticks.Now() + time.Duration(h.later.Load()) },
 	}
-	k := &recall.Keeper{Table: h.Table, Store: platform.Quarantines{Store: platform.NewStore(store.Address(), h.Log)}, Log: h.Log}
+	client := platform.NewStore(store.Address(), h.Log)
+	k := &recall.Keeper{Table: h.Table, Store: platform.Quarantines{Store: client}, Eras: client.Eras, Log: h.Log}
+	h.eras = client.Eras
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- k.Run(ctx) }()
@@ -174,3 +178,53 @@
 	assert.Equal(t, h.Quarantined(), 1)
 	assert.Assert(t, h.isQuarantined(crash.Keys{Whole: 0xff}))
 }
+
+// TestKeysAreWrittenAgainAfterAReturn guards against quarantined keys that a copy of the store lacks, and against released ones that it holds:
+// they would be lost, or refused again, after a kill of all hosts.
+func TestKeysAreWrittenAgainAfterAReturn(t *testing.T) {
+	// rewriteTime is the time in which the hosts write again after the store's return.
+	const rewriteTime = 2 * time.Second
+	deadly := crash.NewKeys([]string{"dead", "own"}, 1)
+	for _, tc := range []struct {
+		name string
+		// isReleased is whether the quarantine ends between the copy and the return; otherwise it begins then.
+		isReleased bool
+	}{
+		{"a key that the copy lacks", false},
+		{"a released key that the copy holds", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			store := plat.NewStore()
+			defer store.Close()
+			store.NameEras()
+			count := func() int { return store.Count("quarantined-keys") }
+			h := start(t, "h1", store)
+			empty := store.Copy()
+			for _, server := range []string{"s1", "s2"} {
+				h.crash(t, deadly, server)
+			}
+			eventually(t, "the key to be saved", func() bool { return count() > 0 })
+			time.Sleep(time.Second)
+			saved, copied, want := count(), empty, count()
+			if tc.isReleased {
+				copied, want = store.Copy(), 0
+				h.later.Add(int64(10 * time.Minute))
+				r := h.Enter("r", deadly, func() {})
+				assert.NilError(t, r.Send(t.Context(), "s3"))
+				r.Answered()
+				eventually(t, "the key to be removed", func() bool { return count() == 0 })
+			}
+			store.Return(copied)
+			assert.Assert(t, count() != want)
+			calls := store.Calls()
+			assert.NilError(t, h.eras.Observe(store.Era()))
+			returned := time.Now()
+			eventually(t, "the hosts to write again", func() bool { return count() == want })
+			assert.Assert(t, time.Since(returned) < rewriteTime, "%s", time.Since(returned))
+			time.Sleep(time.Second)
+			// A key that exists is created and then replaced.
+			assert.Assert(t, store.Calls()-calls <= 2*saved, "%d calls for %d keys", store.Calls()-calls, saved)
+		})
+	}
+}
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -15,6 +15,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/budget"
 	"github.com/tarragonspur/tarragonspur/internal/canary"
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 	"github.com/tarragonspur/tarragonspur/internal/front"
 	"github.com/tarragonspur/tarragonspur/internal/gossip"
 	"github.com/tarragonspur/tarragonspur/internal/httpd"
@@ -88,6 +89,7 @@
 
 // constructors lists the constructors of all components of a host.
 var constructors = [...]any{
+	newEras,
 	newStore,
 	newMirror,
 	newMirrorServer,
@@ -139,12 +141,16 @@
 	return built, errors.Wrap(err, "build host")
 }
 
-func newStore(s config.Settings, log *slog.Logger) *platform.Store {
-	return platform.NewStore(s.Store, log)
+func newEras(log *slog.Logger) *epoch.Tracker { return &epoch.Tracker{Log: log} }
+
+func newStore(s config.Settings, eras *epoch.Tracker, log *slog.Logger) *platform.Store {
+	st := platform.NewStore(s.Store, log)
+	st.Eras = eras
+	return st
 }
 
 func newMirror(s config.Settings, st *platform.Store, g *gossip.Gossip, health *watch.Health, log *slog.Logger) *mirror.Mirror {
-	m := &mirror.Mirror{Store: st, Readers: g, Link: &mirror.Link{}, ReaderKind: platform.KindTables, Log: log}
+	m := &mirror.Mirror{Store: st, Eras: st.Eras, Readers: g, Link: &mirror.Link{}, ReaderKind: platform.KindTables, Log: log}
 	boundTableAge(s, m)
 	boundServersAge(s, m)
 	g.IsReading = func() bool { return m.IsReading(platform.KindTables) && !health.IsUnreachable() }
@@ -202,7 +208,7 @@
 }
 
 func newKeeper(st *platform.Store, t *crash.Table, log *slog.Logger) *recall.Keeper {
-	return &recall.Keeper{Table: t, Store: platform.Quarantines{Store: st}, Log: log}
+	return &recall.Keeper{Table: t, Store: platform.Quarantines{Store: st}, Eras: st.Eras, Log: log}
 }
 
 func newNotices(log *slog.Logger) *notice.Table { return &notice.Table{Log: log} }
@@ -211,7 +217,7 @@
 	g := gossip.New()
 	g.Self, g.Domain, g.Region, g.Address, g.Cores = s.Host, s.Domain, s.Region, s.Peers, s.Platform.Cores
 	g.Queue, w.Remote = w, g
-	g.Registry, g.Pool, g.Crashes, g.Log = platform.Hosts{Store: st}, p, t, log
+	g.Registry, g.Eras, g.Pool, g.Crashes, g.Log = platform.Hosts{Store: st}, st.Eras, p, t, log
 	for _, seed := range s.Platform.Seeds {
 		g.Seeds = append(g.Seeds, netip.AddrPortFrom(seed.Addr(), s.Peers.Port()))
 	}
@@ -342,15 +348,15 @@
 	}
 }
 
-func newEvacuations(m *mirror.Mirror, p *pool.Pool, health *watch.Health, g *gossip.Gossip, log *slog.Logger) *watch.Follower[string] {
-	return &watch.Follower[string]{
+func newEvacuations(m *mirror.Mirror, p *pool.Pool, health *watch.Health, g *gossip.Gossip, log *slog.Logger) *watch.Follower[watch.Evacuation] {
+	return &watch.Follower[watch.Evacuation]{
 		Kind: "failure domains", Source: platform.Evacuations{Store: m}, Sink: &watch.Evacuations{Pool: p, Log: log},
 		Wait: serversWait, BatchDelay: batchDelay, Health: health, HasReader: hasReader(g), Log: log,
 	}
 }
 
 // newControllers lists the host's controllers.
-func newControllers(t *watch.Follower[*policy.Table], s *watch.Follower[pool.Server], e *watch.Follower[string], g *gossip.Gossip, m *mirror.Server, k *recall.Keeper, f *front.Readers, r rolloutControllers) []Controller {
+func newControllers(t *watch.Follower[*policy.Table], s *watch.Follower[pool.Server], e *watch.Follower[watch.Evacuation], g *gossip.Gossip, m *mirror.Server, k *recall.Keeper, f *front.Readers, r rolloutControllers) []Controller {
 	return append([]Controller{t, s, e, g, m, k, f}, r...)
 }
 
@@ -392,6 +398,7 @@
 	Pool        *pool.Pool
 	Gossip      *gossip.Gossip
 	Rollouts    *canary.Table
+	Eras        *epoch.Tracker
 	Metrics     *metric.Set
 	Lines       *logs.Writer
 	Controllers []Controller
--- a/internal/site/gauges.go
+++ b/internal/site/gauges.go
@@ -91,6 +91,11 @@
 			}
 			return 1
 		}},
+		{"store_era", "Newest era of the store that this host has learned of; 0 if the store names none.", func() float64 { return float64(s.Eras.Newest()) }},
+		{"store_returns", "Returns of the store from a copy, since the start.", func() float64 {
+			returns, _ := s.Eras.Changes()
+			return float64(returns)
+		}},
 		{"log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(s.Lines.Dropped()) }},
 	}
 	for _, g := range gauges {
--- a/internal/site/intime_test.go
+++ b/internal/site/intime_test.go
@@ -246,8 +246,8 @@
 }
 
 // newTestMirror returns a host's mirror.
-func newTestMirror(s config.Settings, store mirror.Store, readers mirror.Readers, log *slog.Logger) *mirror.Mirror {
-	m := &mirror.Mirror{Store: store, Readers: readers, Link: &mirror.Link{}, ReaderKind: platform.KindTables, Log: log}
+func newTestMirror(s config.Settings, store *platform.Store, readers mirror.Readers, log *slog.Logger) *mirror.Mirror {
+	m := &mirror.Mirror{Store: store, Eras: store.Eras, Readers: readers, Link: &mirror.Link{}, ReaderKind: platform.KindTables, Log: log}
 	boundTableAge(s, m)
 	boundServersAge(s, m)
 	return m
--- a/internal/watch/sinks.go
+++ b/internal/watch/sinks.go
@@ -2,8 +2,6 @@
 
 import (
 	"log/slog"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/tarragonspur/tarragonspur/internal/canary"
@@ -16,19 +14,39 @@
 type Tables struct {
 	Holder *policy.Holder
 	Log    *slog.Logger
+
+	era int64
+	// isBehind is set while the store, which has come back from a copy, holds an older table than the one in force.
+	isBehind bool
 }
 
 // Replace applies the table of a full list.
-func (t *Tables) Replace(b Batch[*policy.Table], confirmed time.Duration) { t.Apply(b, confirmed) }
+func (t *Tables) Replace(b Batch[*policy.Table], confirmed time.Duration) {
+	if t.era != 0 && b.At.Era > t.era {
+		t.isBehind = true
+	}
+	t.era = b.At.Era
+	t.Apply(b, confirmed)
+}
 
-// Apply puts the newest table of a batch in force.
+// Apply puts the newest table of a batch in force. A store that holds an older one than that does not confirm it: the operator may have
+// withdrawn keys since, and writes again.
 func (t *Tables) Apply(b Batch[*policy.Table], confirmed time.Duration) {
 	for _, table := range b.Changed {
 		if t.Holder.PutIfNewer(table) {
-			t.Log.Info("table in force", "version", table.Version, "revision", b.Revision, "age", ticks.Now()-confirmed)
+			t.Log.Info("table in force", "version", table.Version, "revision", b.At, "age", ticks.Now()-confirmed)
 		}
+		inForce, _ := t.Holder.View()
+		switch wasBehind := t.isBehind; {
+		case table.Version >= inForce.Version:
+			t.isBehind = false
+		case wasBehind:
+			t.Log.Warn("store holds an older table than the one in force", "version", table.Version, "in_force", inForce.Version, "revision", b.At)
+		}
+	}
+	if !t.isBehind {
+		t.Holder.Confirm(confirmed)
 	}
-	t.Holder.Confirm(confirmed)
 }
 
 // Servers keeps the pool of backend servers up to date.
@@ -36,72 +54,75 @@
 	Pool   *pool.Pool
 	Health *Health
 	Log    *slog.Logger
+	// Now returns the time; nil means time.Now.
+	Now func() time.Time
+
+	lessons lessons
+	era     int64
+	// eraSince is when this host learned that the store has come back from a copy; zero before.
+	eraSince time.Time
 }
 
 // Replace sets the backend servers to those of a full list.
 func (s *Servers) Replace(b Batch[pool.Server], confirmed time.Duration) {
-	now := time.Now()
-	s.Pool.Replace(b.Changed, s.Health.RemovalTime(now), now)
-	s.Log.Info("backend servers listed", "count", len(b.Changed), "revision", b.Revision, "age", ticks.Now()-confirmed)
+	now := timeOf(s.Now)
+	if s.era != 0 && b.At.Era > s.era {
+		s.eraSince = now
+	}
+	s.era = b.At.Era
+	list, heldBack := s.lessons.list(b.Changed, b.At.Era, now)
+	s.Pool.Replace(list, s.removalTime(now), now)
+	s.Log.Info("backend servers listed", "count", len(b.Changed), "held_back", heldBack, "revision", b.At, "age", ticks.Now()-confirmed)
+}
+
+// removalTime returns the time from which an entry that disappears now counts as removed. Backend servers whose entries a copy of the
+// store lacks write them again.
+func (s *Servers) removalTime(now time.Time) time.Time {
+	at := s.Health.RemovalTime(now)
+	if until := s.eraSince.Add(returnGrace); until.After(at) {
+		return until
+	}
+	return at
 }
 
 // Apply adds, changes and removes backend servers.
 func (s *Servers) Apply(b Batch[pool.Server], _ time.Duration) {
-	now := time.Now()
+	now := timeOf(s.Now)
 	for _, server := range b.Changed {
+		s.lessons.learn(server, b.At.Era)
 		s.Pool.Put(server, now)
 		s.Log.Info("backend server changed", "server", server.ID, "service", server.Service, "address", server.Address,
-			"draining", server.Draining, "cold", server.ColdRemaining, "revision", b.Revision)
+			"draining", server.Draining, "cold", server.ColdRemaining, "revision", b.At)
 	}
 	for _, id := range b.Removed {
-		at := s.Health.RemovalTime(now)
+		at := s.removalTime(now)
+		s.lessons.remove(id, b.At.Era, now)
 		s.Pool.Remove(id, at, now)
-		s.Log.Info("backend server gone", "server", id, "in", at.Sub(now), "revision", b.Revision)
+		s.Log.Info("backend server gone", "server", id, "in", at.Sub(now), "revision", b.At)
+	}
+	for _, server := range s.lessons.due(b.At.Era, now) {
+		s.Pool.Put(server, now)
+		s.Log.Info("backend server back", "server", server.ID, "service", server.Service, "revision", b.At)
 	}
 }
 
-// Evacuations keeps the set of failure domains that operators have evacuated.
-type Evacuations struct {
-	Pool *pool.Pool
-	Log  *slog.Logger
-
-	mu        sync.Mutex
-	evacuated []string
-}
-
-// Replace sets the evacuated failure domains to those of a full list.
-func (e *Evacuations) Replace(b Batch[string], _ time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.set(b.Changed, b.Revision)
-}
-
-// Apply adds and removes evacuated failure domains.
-func (e *Evacuations) Apply(b Batch[string], _ time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	evacuated := append(slices.Clone(e.evacuated), b.Changed...)
-	evacuated = slices.DeleteFunc(evacuated, func(d string) bool { return slices.Contains(b.Removed, d) })
-	slices.Sort(evacuated)
-	e.set(slices.Compact(evacuated), b.Revision)
-}
-
-func (e *Evacuations) set(evacuated []string, revision int64) {
-	if slices.Equal(e.evacuated, evacuated) {
-		return
+// timeOf returns the time of a clock, of time.Now for nil.
+func timeOf(now func() time.Time) time.Time {
+	if now == nil {
+		return time.Now()
 	}
-	e.evacuated = evacuated
-	e.Pool.SetEvacuated(evacuated)
-	e.Log.Info("failure domains out", "domains", evacuated, "revision", revision)
+	return now()
 }
 
 // Rollouts keeps the operators' orders for roll-outs.
 type Rollouts struct{ Table *canary.Table }
 
 // Replace sets the orders to those of a full list.
-func (r *Rollouts) Replace(b Batch[canary.Order], _ time.Duration) { r.Table.SetOrders(b.Changed) }
+func (r *Rollouts) Replace(b Batch[canary.Order], _ time.Duration) {
+	r.Table.SetOrders(b.Changed, b.At.Ordinal())
+}
 
 // Apply adds, changes and removes orders.
 func (r *Rollouts) Apply(b Batch[canary.Order], _ time.Duration) {
-	r.Table.ChangeOrders(b.Changed, b.Removed, b.Revision)
+	r.Table.ChangeOrders(b.Changed, b.Removed, b.At.Ordinal())
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 	"github.com/tarragonspur/tarragonspur/internal/mirror"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
@@ -30,8 +31,8 @@
 
 // Batch is a full list or the changes since a revision, in order.
 type Batch[T any] struct {
-	Revision int64
-	Changed  []T
+	At      epoch.Position
+	Changed []T
 	// Removed are the names of deleted objects; always empty in a list.
 	Removed []string
 	// Age is an upper bound of the time from the store's confirmation of the batch until the call for it; negative if the store
@@ -43,9 +44,9 @@
 type Source[T any] interface {
 	// List returns all objects.
 	List(ctx context.Context) (Batch[T], error)
-	// Changes waits for changes after a revision; it returns an empty batch if there are none within the wait,
-	// and mirror.ErrHistoryGone if the history since the revision is no longer kept.
-	Changes(ctx context.Context, since int64, wait time.Duration) (Batch[T], error)
+	// Changes waits for changes after a position; it returns an empty batch if there are none within the wait,
+	// and mirror.ErrHistoryGone if the history since the position is no longer kept.
+	Changes(ctx context.Context, since epoch.Position, wait time.Duration) (Batch[T], error)
 }
 
 // Sink receives what was read. Confirmed is a reading of ticks.Now at which the batch was still up to date.
@@ -85,12 +86,12 @@
 		InitialInterval: retryFirst, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: retryMax,
 	}
 	retries.Reset()
-	revision := int64(0)
+	var position epoch.Position
 	hasFailed := false
 	for ctx.Err() == nil {
 		start := time.Now()
 		pauseFully := f.HasReader == nil || f.HasReader()
-		next, changed, err := f.step(ctx, revision, f.slack(hasFailed))
+		next, changed, err := f.step(ctx, position, f.slack(hasFailed))
 		hasFailed = err != nil
 		f.SyncStatus.record(err == nil)
 		if !errors.Is(err, mirror.ErrNotReading) {
@@ -101,18 +102,18 @@
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, mirror.ErrHistoryGone):
-			f.Log.Info("store history gone", "kind", f.Kind, "revision", revision)
-			next = 0
+			f.Log.Info("store history gone", "kind", f.Kind, "revision", position)
+			next = epoch.Position{}
 		case errors.Is(err, mirror.ErrNotReading):
-			next, pause = revision, readerPollInterval
-			f.Log.Debug("no host reads the store for this one", "kind", f.Kind, "revision", revision)
+			next, pause = position, readerPollInterval
+			f.Log.Debug("no host reads the store for this one", "kind", f.Kind, "revision", position)
 		case errors.Is(err, mirror.ErrUnreadable):
 			// The same changes would come again; a full list may be shorter and is read without them.
-			next, pause = 0, retries.NextBackOff()
-			f.Log.Warn("store's answer can't be read", "kind", f.Kind, "revision", revision, "error", err, "retry_in", pause)
+			next, pause = epoch.Position{}, retries.NextBackOff()
+			f.Log.Warn("store's answer can't be read", "kind", f.Kind, "revision", position, "error", err, "retry_in", pause)
 		case err != nil:
-			next, pause = revision, retries.NextBackOff()
-			f.Log.Info("store call failed", "kind", f.Kind, "revision", revision, "error", err, "retry_in", pause)
+			next, pause = position, retries.NextBackOff()
+			f.Log.Info("store call failed", "kind", f.Kind, "revision", position, "error", err, "retry_in", pause)
 		default:
 			retries.Reset()
 			switch {
@@ -123,7 +124,7 @@
 				pause = f.Wait / 2
 			}
 		}
-		revision = next
+		position = next
 		f.pause(ctx, pause, pauseFully)
 	}
 	return nil
@@ -150,24 +151,24 @@
 }
 
 // step makes one call and passes the result to the sink.
-func (f *Follower[T]) step(ctx context.Context, revision int64, slack time.Duration) (next int64, changed bool, err error) {
+func (f *Follower[T]) step(ctx context.Context, position epoch.Position, slack time.Duration) (next epoch.Position, changed bool, err error) {
 	began := ticks.Now()
-	if revision == 0 {
+	if position.IsZero() {
 		listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		b, err := f.Source.List(listCtx)
 		if err != nil {
-			return 0, false, err
+			return epoch.Position{}, false, err
 		}
 		f.Sink.Replace(b, began-b.Age)
-		return b.Revision, true, nil
+		return b.At, true, nil
 	}
 	watchCtx, cancel := context.WithTimeout(ctx, f.Wait+slack)
 	defer cancel()
-	b, err := f.Source.Changes(watchCtx, revision, f.Wait)
+	b, err := f.Source.Changes(watchCtx, position, f.Wait)
 	if err != nil {
-		return revision, false, err
+		return position, false, err
 	}
 	f.Sink.Apply(b, began-b.Age)
-	return max(revision, b.Revision), len(b.Changed)+len(b.Removed) > 0, nil
+	return position.Latest(b.At), len(b.Changed)+len(b.Removed) > 0, nil
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/tarragonspur/tarragonspur/internal/epoch"
 	"github.com/tarragonspur/tarragonspur/internal/mirror"
 )
 
@@ -23,12 +24,12 @@
 
 func (s *source) List(context.Context) (Batch[string], error) {
 	s.lists.Add(1)
-	return Batch[string]{Revision: 1}, nil
+	return Batch[string]{At: epoch.Position{Revision: 1}}, nil
 }
 
-func (s *source) Changes(context.Context, int64, time.Duration) (Batch[string], error) {
+func (s *source) Changes(context.Context, epoch.Position, time.Duration) (Batch[string], error) {
 	s.waits.Add(1)
-	return Batch[string]{Revision: 1}, s.err
+	return Batch[string]{At: epoch.Position{Revision: 1}}, s.err
 }
 
 type sink struct{}
@@ -111,10 +112,10 @@
 	if !a.reads.Load() {
 		return Batch[string]{}, errors.New("store is down")
 	}
-	return Batch[string]{Revision: 1}, nil
+	return Batch[string]{At: epoch.Position{Revision: 1}}, nil
 }
 
-func (a *peerSource) Changes(ctx context.Context, _ int64, _ time.Duration) (Batch[string], error) {
+func (a *peerSource) Changes(ctx context.Context, _ epoch.Position, _ time.Duration) (Batch[string], error) {
 	<-ctx.Done()
 	return Batch[string]{}, ctx.Err()
 }
