--- a/internal/fakes/town/town.go
+++ b/internal/fakes/town/town.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -61,6 +62,10 @@
 	Copies  *plat.CopyRegistry
 
 	version int
+
+	mu sync.Mutex
+	// sequences counts what each server has written about itself.
+	sequences map[string]int
 }
 
 // New starts a store and backend servers and writes the table; every second backend server is a model engine, whose
@@ -97,9 +102,16 @@
 	if draining {
 		state = "draining"
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sequences == nil {
+		p.sequences = make(map[string]int)
+	}
+	p.sequences[e.InstanceID()]++
 	p.Store.Put("servers", e.InstanceID(), map[string]any{
 		"service": service, "address": e.PublicAddress().String(), "zone": domain, "slots": slots, "state": state, "coldRemainingMs": 0,
-		"version": e.Version,
+		"sequence": p.sequences[e.InstanceID()],
+		"version":  e.Version,
 	})
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,7 @@
 	binary   string
 
 	mu     sync.Mutex
+	starts []time.Time
 	dir    string
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -71,6 +73,7 @@
 	if err != nil {
 		return errors.Wrap(err, "start host")
 	}
+	p.starts = append(p.starts, time.Now())
 	p.cmd, p.exited = cmd, make(chan struct{})
 	go func(exited chan struct{}) {
 		defer close(exited)
@@ -80,6 +83,13 @@
 	return nil
 }
 
+// wasStarted reports whether the host was started between two moments.
+func (p *process) wasStarted(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.starts, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
 func (p *process) logFile() string { return filepath.Join(p.dir, "host.log") }
 
 // logTail returns the last logTailBytes of the host's log, or the error of reading it.
--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -121,3 +121,11 @@
 		})
 	}
 }
+
+// TestLeavingServerGetsNothingAfterAReturn has a seed on which a server that leaves got requests again after the store had come back from a
+// copy that showed it as healthy.
+func TestLeavingServerGetsNothingAfterAReturn(t *testing.T) {
+	var out bytes.Buffer
+	s := &Soak{Seed: 3, Duration: 10 * time.Second, HasRestores: true, Hosts: 3, Engines: 8, Callers: 12, Binary: buildBinary(t), Out: &out}
+	assert.NilError(t, s.Run(t.Context()), out.String())
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -50,6 +50,8 @@
 	HasRollout bool
 	// HasFloods adds callers that leave what they send unfinished, and lowers the hosts' memory; its bound is checked.
 	HasFloods bool
+	// HasRestores makes the store come back from copies some seconds old.
+	HasRestores bool
 	// Hosts, Engines and Callers are the numbers of entry hosts, backend servers and callers.
 	Hosts, Engines, Callers int
 	// Binary is the path of the program that runs as an entry host.
@@ -72,6 +74,7 @@
 	pauser        pauser
 	journal       journal
 	memory        memoryWatch
+	restorer      restorer
 }
 
 // Run runs the test; if a guarantee was violated, it returns ErrGuaranteeViolated with the first violation.
@@ -131,9 +134,26 @@
 			s.watchMemory(runCtx)
 		}
 	}()
+	restoresEnded, copiesEnded := make(chan struct{}), make(chan struct{})
+	if s.HasRestores {
+		s.leaveAfterCopy(runCtx)
+	}
+	go func() {
+		defer close(copiesEnded)
+		if s.HasRestores {
+			s.keepCopies(runCtx)
+		}
+	}()
+	go func() {
+		defer close(restoresEnded)
+		if s.HasRestores {
+			s.injectFaults(runCtx, restoreStream, restores())
+		}
+	}()
 	s.injectFaults(runCtx, 0, faults())
 	<-pathFaultsEnded
 	<-floodsEnded
+	<-restoresEnded
 	s.pauser.pauses.Wait()
 	s.undoAllFaults()
 	s.recorder.startRecovery()
@@ -144,6 +164,7 @@
 	<-stated
 	<-ordered
 	<-memoryRead
+	<-copiesEnded
 	s.crasher.restarts.Wait()
 	err := s.checkGuarantees()
 	if s.Logs != "" {
@@ -170,6 +191,9 @@
 		}
 		s.town.Register(e, false)
 	}
+	if s.HasRestores {
+		s.prepareRestores()
+	}
 	for i := range s.Hosts {
 		p, err := newProxy(ctx, s.town.Store.Address())
 		if err != nil {
@@ -212,11 +236,21 @@
 	for _, e := range s.rollout.target {
 		e.Crash()
 	}
+	if s.restorer.leaving != nil {
+		s.restorer.leaving.Crash()
+	}
 }
 
 // checkGuarantees reports each violated guarantee to Out and returns ErrGuaranteeViolated if there is one.
 func (s *Soak) checkGuarantees() error {
-	violations := s.recorder.check(slices.Concat(s.town.Servers, s.rollout.target))
+	engines := slices.Concat(s.town.Servers, s.rollout.target)
+	if s.HasRestores {
+		engines = append(engines, s.restorer.leaving)
+	}
+	violations := s.recorder.check(engines)
+	if s.HasRestores {
+		violations = append(violations, s.checkLeaver()...)
+	}
 	if s.HasRollout {
 		violations = append(violations, s.checkRollout()...)
 	}
