fix(mirror): hosts of an earlier version of the program read changes from a host that knows eras

Their questions name no era. Each would have been answered with a full list, and the host would have asked again at once, for as long as both versions run.

The row of TestCacheOfAnEarlierEraIsNotPassedOn failed before.

--- a/internal/mirror/cache.go
+++ b/internal/mirror/cache.go
@@ -185,6 +185,10 @@
 		// This host lists the documents anew as soon as it learns of an era, so that others need not.
 		return Batch{}, c.changed, ErrLoading
 	}
+	if since.Era == 0 && !since.IsZero() {
+		// Hosts of an earlier version of the program name no era, and would list again and again.
+		since.Era = c.at.Era
+	}
 	if c.at.IsZero() || age > maxAge || since.Era > c.at.Era {
 		return Batch{}, nil, ErrNotReading
 	}
--- a/internal/mirror/era_test.go
+++ b/internal/mirror/era_test.go
@@ -68,6 +68,7 @@
 		{"a position of the earlier era", before, ErrHistoryGone, 0},
 		{"a lower position of the earlier era", epoch.Position{Era: 1, Revision: 2}, ErrHistoryGone, 0},
 		{"the position", now, nil, 0},
+		{"a position of a host that names no era", epoch.Position{Revision: 4}, nil, 0},
 		{"a position of a later era", epoch.Position{Era: 3, Revision: 1}, ErrNotReading, 0},
 	} {
 		b, err := c.read(t.Context(), tc.since, 0, maxAge, readsOn)
