test(config): the deployment template's bound for leaving servers

TestDeploymentTemplateParses and its twin without roll-outs failed since the template names bounds.drainTimeoutMs, as they should for a field that they do not know. They know it now and check platform.server_apply.

--- a/pkg/config/template_test.go
+++ b/pkg/config/template_test.go
@@ -16,6 +16,7 @@
 		"ip": "10.1.0.19", "internalPortRange.0": "7200", "platform.address|json": `"10.200.1.7:8742"`, "listen.ready|json": `"10.1.0.19:8749"`,
 		"zones|json": `{"d1":"east"}`, "#bounds.failClosed": "", "/bounds.failClosed": "", "bounds.revokeMs": "5000",
 		"#bounds.configApplyMs": "", "/bounds.configApplyMs": "", "bounds.configApplyMs": "2500",
+		"#bounds.drainTimeoutMs": "", "/bounds.drainTimeoutMs": "", "bounds.drainTimeoutMs": "4000",
 		"bounds.retryBudgetRatio": "0.2", "bounds.retryMinExtra": "54", "bounds.retryWindowS": "10", "bounds.gracePeriodS": "8",
 		"#bounds.exposureShare": "", "/bounds.exposureShare": "", "bounds.exposureShare": "0.1", "bounds.exposureTolerance": "50", "bounds.rollbackMs": "5000",
 		"seedNodes": `["10.1.0.19:8748","10.2.0.13:8748"]`, "seedNodes|json": `["10.1.0.19:8748","10.2.0.13:8748"]`, "limits.cpuQuota": "0.4", "limits.memoryLimitMb": "134",
@@ -36,6 +37,7 @@
 	assert.Equal(t, s.Metrics.String(), "10.1.0.19:9464")
 	assert.Equal(t, time.Duration(s.Platform.KeyAge), 5*time.Second)
 	assert.Equal(t, time.Duration(s.Platform.TableApply), 2500*time.Millisecond)
+	assert.Equal(t, time.Duration(s.Platform.ServerApply), 4*time.Second)
 	assert.Equal(t, time.Duration(s.Platform.Grace), 8*time.Second)
 	assert.Equal(t, s.Platform.MemoryMB, int64(134))
 	assert.Assert(t, s.Platform.FairShares)
