fix(watch): a failure domain whose order a copy lacks is not out for half a minute

Hosts kept an order for the failure domain of all servers in force for 30 s because the copy lacked it. The operator had taken it back after the return, which leaves no change to read where there is no order.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -156,6 +156,9 @@
 	<-restoresEnded
 	s.pauser.pauses.Wait()
 	s.undoAllFaults()
+	if s.HasRestores {
+		ticks.Sleep(runCtx, orderHoldTime)
+	}
 	s.recorder.startRecovery()
 	s.journal.add("all faults are undone")
 	ticks.Sleep(runCtx, recovery)
--- a/internal/watch/evacuations.go
+++ b/internal/watch/evacuations.go
@@ -10,8 +10,9 @@
 )
 
 // rewriteTime is how long what a host knows of orders goes before a copy that the store has come back from: one that the copy lacks stays
-// in force, and one that was taken back does not come into force. The operators write again what they had written.
-const rewriteTime = 30 * time.Second
+// in force, and one that was taken back does not come into force. The operators write again what they had written; an order that they have
+// taken back since the return, and that the copy lacks, leaves no change to read. The time is that in which an order must be in force.
+const rewriteTime = 5 * time.Second
 
 // Evacuation is an operator's order to send nothing more to the backend servers of a failure domain.
 type Evacuation struct {
