--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -20,10 +20,10 @@
 	// maxAway bounds how long the store is away before it comes back, and maxRewriteDelay the time after that in which the operator and
 	// the servers write again.
 	maxAway         = 600 * time.Millisecond
+	maxRewriteDelay = 1500 * time.Millisecond
 	// orderHoldTime is how long hosts keep an order for the failure domain of all servers in force after a return that has lost it: five
 	// seconds, and the wait of the call that is in progress then.
 	orderHoldTime = 7 * time.Second
-	maxRewriteDelay = 1500 * time.Millisecond
 )
 
 // restorer makes the store come back from copies, and a server leave that the oldest of them shows as healthy.
