fix(recall): the pause after a failed round of calls does not grow with the number of keys

Hosts are to write again within 2 s of the store's return.

A round of calls in which some fail now counts once.

--- a/internal/recall/recall.go
+++ b/internal/recall/recall.go
@@ -52,7 +52,9 @@
 	Eras Eras
 	Log  *slog.Logger
 
-	failures int
+	// failures is the number of rounds of calls in a row of which one failed, hasFailed whether one of the present round has.
+	failures  int
+	hasFailed bool
 	// returns is the number of returns of the store for which this host has written its keys again.
 	returns int
 	// written are the keys that this host has saved or removed, with the time of their removal, zero for saved ones.
@@ -65,11 +67,15 @@
 // Run runs until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	for isLoaded := false; ; {
+		k.hasFailed = false
 		if !isLoaded {
 			isLoaded = k.load(ctx)
 		}
 		k.rewrite()
 		k.save(ctx)
+		if k.hasFailed {
+			k.failures++
+		}
 		if !ticks.Sleep(ctx, k.pause()) {
 			return nil
 		}
@@ -152,12 +158,14 @@
 // record counts and logs a failed call, and reports whether the call succeeded.
 func (k *Keeper) record(ctx context.Context, err error) bool {
 	if err == nil {
-		k.failures = 0
+		if !k.hasFailed {
+			k.failures = 0
+		}
 		return true
 	}
 	if ctx.Err() == nil || k.failures == 0 {
 		k.Log.Info("store call failed", "kind", "quarantined keys", "failures", k.failures, "error", err)
 	}
-	k.failures++
+	k.hasFailed = true
 	return false
 }
