--- a/internal/site/leaving_test.go
+++ b/internal/site/leaving_test.go
@@ -15,7 +15,7 @@
 const leavingTime = 2500 * time.Millisecond
 
 // TestLeavingServerIsKnownInTime guards against hosts that send to a leaving backend server because the host that reads the store for
-// them has lost it, or hears of it late: calls that wait there went on, and old answers counted.
+// them is cut off from it or reads it late: calls that waited there did not end, and outdated answers counted.
 func TestLeavingServerIsKnownInTime(t *testing.T) {
 	losesStore := func(r *tableRig) { r.toStore.isCut.Store(true) }
 	allPhases := []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond, 1200 * time.Millisecond, 1500 * time.Millisecond, 1800 * time.Millisecond}
--- a/internal/site/return_test.go
+++ b/internal/site/return_test.go
@@ -124,7 +124,8 @@
 	return version
 }
 
-// returnFrom makes the store come back from a copy. A server leaves at once: its entry has a revision that hosts know of another change.
+// returnFrom makes the store come back from a copy. The first write after it, of a server that leaves, has a revision that hosts have
+// already read of another change.
 func (r *tableRig) returnFrom(copied *plat.Copy, away time.Duration, writes int) {
 	r.store.SetOutage(plat.Busy)
 	time.Sleep(away)
