fix(send): answers whose status HTTP does not have reach no caller

What was seen: a stand-in that writes raw bytes answered with status 000. Callers of single answers and streams had their connection closed in the middle of an answer, without a refusal: the status was passed on and net/http panicked on it. Statuses 600 and 999 arrived with the engine's header lines and body as if they were sound. An answer with status 000 or 600 that said that the request did not run was believed, so that a booking that may have run was refused with 503, or sent on. A stream that had begun went on with the events of an answer with status 000. An answer with status 101, which no request asks for, was skipped, and what followed was taken for the answer.

Cause: net/http reads any three characters that make a number of zero or more as a status, and the code took each one below 300 for a success and each below 500 for an answer to pass on.

Change: package head checks the status line of an answer, and of the interim answers before it, as its bytes arrive; one outside 100 to 599, or 101, makes the answer invalid. Comparisons with a success have a lower bound too.

--- a/internal/front/unary.go
+++ b/internal/front/unary.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/crash"
+	"github.com/tarragonspur/tarragonspur/internal/head"
 	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
@@ -295,7 +296,7 @@
 	if !q.isOwn(reply) {
 		return errors.Mark(errors.Newf("answer belongs to request %s", reply.ID), send.ErrInvalidAnswer)
 	}
-	if a.Status < http.StatusMultipleChoices && !reply.IsSigned {
+	if head.IsSuccess(a.Status) && !reply.IsSigned {
 		return errors.Mark(errors.Newf("answer with status %d has no signature", a.Status), send.ErrInvalidAnswer)
 	}
 	if meansNotRun(a.Status) {
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -13,6 +13,7 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/canary"
 	"github.com/tarragonspur/tarragonspur/internal/flow"
+	"github.com/tarragonspur/tarragonspur/internal/head"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/send"
 )
@@ -138,7 +139,7 @@
 }
 
 // openUpstream sends the request to a backend server, over a new connection if conn is nil, once all others have ended it. It returns
-// the stream, or the full answer if the status is 300 or more.
+// the stream, or the full answer if the status is not that of a success.
 func (q *request) openUpstream(ctx context.Context, lease *pool.Lease, s ForwardMetadata, conn *send.Conn) (*upstream, *fullAnswer, error) {
 	f := &upstream{lease: lease}
 	made, err := q.awaitEnds(ctx, lease.Server)
@@ -177,7 +178,7 @@
 		q.discard(&standby{claim: lease, copy: made})
 		return nil, nil, err
 	}
-	if answer.Status >= http.StatusMultipleChoices {
+	if !head.IsSuccess(answer.Status) {
 		defer q.discard(&standby{claim: lease, copy: made})
 		defer q.close(f)
 		defer answer.Close()
--- /dev/null
+++ b/internal/head/checker.go
@@ -0,0 +1,121 @@
+// Package head checks the heads of HTTP/1.1 answers. net/http also reads statuses that HTTP does not have, and fields whose names hold
+// blanks, and then looks for the body at the wrong place.
+package head
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrInvalid says that the head of an answer, or of an interim answer before it, is not valid HTTP. The request may have run.
+var ErrInvalid = errors.New("head of the answer is not valid HTTP")
+
+// statusLine is the form of the start of a status line; 0 stands for a digit.
+const statusLine = "HTTP/1.0 000"
+
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// state says which part of an answer comes next.
+type state int
+
+const (
+	atStatus state = iota
+	inReason
+	atField
+	inField
+	atEnd
+	inBody
+)
+
+// Checker checks the bytes of the answer to one request, up to the body. Its zero value expects the first byte.
+type Checker struct {
+	state state
+	// column counts the bytes of the status line, status is its number so far.
+	column, status int
+}
+
+// Check checks the next bytes. It returns the number of bytes before the first that is invalid, or all; the error is ErrInvalid.
+func (c *Checker) Check(p []byte) (int, error) {
+	for i, b := range p {
+		if c.state == inBody {
+			break
+		}
+		if err := c.next(b); err != nil {
+			return i, err
+		}
+	}
+	return len(p), nil
+}
+
+func (c *Checker) next(b byte) error {
+	switch c.state {
+	case atStatus:
+		return c.nextOfStatus(b)
+	case inReason, inField:
+		if b == '\n' {
+			c.state = atField
+		}
+	case atField:
+		switch b {
+		case '\n':
+			c.endHead()
+		case '\r':
+			c.state = atEnd
+		default:
+			c.state = inField
+		}
+	case atEnd:
+		if b != '\n' {
+			return errors.Wrapf(ErrInvalid, "byte %q at the end of the head", b)
+		}
+		c.endHead()
+	case inBody:
+	}
+	return nil
+}
+
+// nextOfStatus checks a byte of the status line, up to the one after the status.
+func (c *Checker) nextOfStatus(b byte) error {
+	if c.column == len(statusLine) {
+		if !isStatus(c.status) {
+			return errors.Wrapf(ErrInvalid, "status %03d", c.status)
+		}
+		if b != ' ' && b != '\r' && b != '\n' {
+			return errors.Wrapf(ErrInvalid, "byte %q after the status", b)
+		}
+		c.state = inReason
+		return c.next(b)
+	}
+	isDigit := b >= '0' && b <= '9'
+	if want := statusLine[c.column]; b != want && (want != '0' || !isDigit) {
+		return errors.Wrapf(ErrInvalid, "byte %q in the status line", b)
+	}
+	if isDigit && c.column >= len(statusLine)-3 {
+		c.status = 10*c.status + int(b-'0')
+	}
+	c.column++
+	return nil
+}
+
+// endHead expects the body, or the next head after an interim answer.
+func (c *Checker) endHead() {
+	isInterim := c.status < http.StatusOK
+	*c = Checker{state: inBody}
+	if isInterim {
+		c.state = atStatus
+	}
+}
+
+// isStatus reports whether a status is one of HTTP that an answer may have; no request asks for other protocols.
+func isStatus(status int) bool {
+	return status >= minStatus && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
+// IsSuccess reports whether a status is that of a success.
+func IsSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonspur/tarragonspur/internal/head"
 )
 
 // Errors of one send.
@@ -150,16 +152,16 @@
 }
 
 func exchange(conn net.Conn, r *Request) (*Answer, error) {
-	head := appendHead(make([]byte, 0, 1<<10), r)
+	requestHead := appendHead(make([]byte, 0, 1<<10), r)
 	if len(r.Body) <= inlineBodyBytes {
-		if _, err := conn.Write(append(head, r.Body...)); err != nil {
+		if _, err := conn.Write(append(requestHead, r.Body...)); err != nil {
 			return nil, errors.Mark(errors.Wrap(err, "send request"), ErrBroken)
 		}
 	} else {
 		// The backend server may answer before it has read a long body, so the body is written concurrently.
 		// The goroutine ends when the connection is closed.
 		go func() {
-			if _, err := conn.Write(head); err == nil {
+			if _, err := conn.Write(requestHead); err == nil {
 				_, _ = conn.Write(r.Body)
 			}
 		}()
@@ -181,12 +183,15 @@
 	}
 }
 
-// headReader reads from a connection, up to a limit until the head of an answer has been read.
+// headReader reads from a connection, up to a limit until the head of an answer has been read, which it checks.
 type headReader struct {
-	conn   net.Conn
-	left   int
-	isBody bool
-	memory Memory
+	conn    net.Conn
+	checker head.Checker
+	// invalid is the error of a head that is not valid HTTP.
+	invalid error
+	left    int
+	isBody  bool
+	memory  Memory
 	// cost is what the head takes in memory, taken the part of it that is taken from memory.
 	cost, taken int
 }
@@ -196,6 +201,9 @@
 	if r.isBody {
 		return r.conn.Read(p)
 	}
+	if r.invalid != nil {
+		return 0, r.invalid
+	}
 	if r.left <= 0 {
 		return 0, errors.Newf("head of the answer exceeds %d bytes", maxHeadBytes)
 	}
@@ -205,6 +213,12 @@
 	n, err := r.conn.Read(p[:min(len(p), r.left, headReadBytes)])
 	r.left -= n
 	r.cost += 2*n + headerCostBytes*bytes.Count(p[:n], []byte{'\n'})
+	valid, invalid := r.checker.Check(p[:n])
+	if invalid != nil {
+		// A reader of lines drops the error that comes with a part of a line.
+		r.invalid = invalid
+		return valid, invalid
+	}
 	return n, err
 }
 
