fix(send): answers with field names that HTTP does not have reach no caller

What was seen: a stand-in that writes raw bytes put a blank into or behind the name of a field. Callers got the answer: a 200 without that line. Where it was the line of the body's length or encoding, the body was cut at the end of the connection instead, so that callers got bytes that were not the engine's, chunk sizes among them. A line that begins with a blank was joined to the value of the line before it and passed on. An answer with such a line that said that the request did not run was believed. A name with a control byte was refused before.

Cause: net/http keeps names with blanks as they are, which hides them from all that look for the field, and joins lines that begin with a blank, which HTTP has given up and lets a proxy refuse.

Change: the check of a head also covers its fields, those of interim answers too: a name consists of the characters of a token only, and no line goes on with the one before it.

--- a/internal/head/checker.go
+++ b/internal/head/checker.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalid says that the head of an answer, or of an interim answer before it, is not valid HTTP. The request may have run.
@@ -26,7 +27,8 @@
 	atStatus state = iota
 	inReason
 	atField
-	inField
+	inName
+	inValue
 	atEnd
 	inBody
 )
@@ -55,18 +57,28 @@
 	switch c.state {
 	case atStatus:
 		return c.nextOfStatus(b)
-	case inReason, inField:
+	case inReason, inValue:
 		if b == '\n' {
 			c.state = atField
 		}
 	case atField:
-		switch b {
-		case '\n':
+		// A line that begins with a blank would go on with the field before it: such lines are obsolete.
+		switch {
+		case b == '\n':
 			c.endHead()
-		case '\r':
+		case b == '\r':
 			c.state = atEnd
+		case httpguts.IsTokenRune(rune(b)):
+			c.state = inName
 		default:
-			c.state = inField
+			return errors.Wrapf(ErrInvalid, "byte %q at the start of a field", b)
+		}
+	case inName:
+		switch {
+		case b == ':':
+			c.state = inValue
+		case !httpguts.IsTokenRune(rune(b)):
+			return errors.Wrapf(ErrInvalid, "byte %q in the name of a field", b)
 		}
 	case atEnd:
 		if b != '\n' {
--- a/internal/head/checker_test.go
+++ b/internal/head/checker_test.go
@@ -58,6 +58,9 @@
 		{"a status of two digits", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 20"},
 		{"status 000", "HTTP/1.1 000 \r\n\r\n", "HTTP/1.1 000"},
 		{"status 600", "HTTP/1.1 600 \r\n\r\n", "HTTP/1.1 600"},
+		{"a blank in a name", "HTTP/1.1 200 OK\r\nA B: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nA"},
+		{"a line that goes on with a field", "HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nA: 1\r\n"},
+		{"a control byte at the end of the head", "HTTP/1.1 200 OK\r\nA: 1\r\n\r\r\n", "HTTP/1.1 200 OK\r\nA: 1\r\n\r"},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
