fix(send): the log names what is wrong with the head of an answer

Cause: a reader of lines drops the error that comes with a part of a line, so that the error of a name with a blank read as a line without a colon. Change: the error of the check goes before that of net/http. The stand-in of servers in trouble no longer needs package testing, so that the soak can use its faults. Result: TestBrokenHeadsAreNoAnswers asks for head.ErrInvalid too, and holds.

--- a/internal/fakes/broken/server.go
+++ b/internal/fakes/broken/server.go
@@ -3,16 +3,22 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
-	"testing"
-
-	"gotest.tools/v3/assert"
 )
 
+// Test is the test that a Server is started for.
+type Test interface {
+	Helper()
+	Context() context.Context
+	Cleanup(f func())
+	Fatal(args ...any)
+}
+
 // Server answers each request with the text that Answer returns for it.
 type Server struct {
 	// Answer returns the answer to a request, whose body has been read.
@@ -30,11 +36,13 @@
 }
 
 // Start starts the server until the test ends and returns its address.
-func (s *Server) Start(t testing.TB) netip.AddrPort {
+func (s *Server) Start(t Test) netip.AddrPort {
 	t.Helper()
 	if s.Listener == nil {
 		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
+		if err != nil {
+			t.Fatal(err)
+		}
 		s.Listener = l
 	}
 	s.conns = make(map[net.Conn]bool)
--- a/internal/send/broken_test.go
+++ b/internal/send/broken_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/broken"
+	"github.com/tarragonspur/tarragonspur/internal/head"
 )
 
 // TestBrokenHeadsAreNoAnswers guards against a head that is not valid HTTP and that passes for an answer, or that is waited for although
@@ -25,6 +26,7 @@
 					answer.Close()
 				}
 				assert.Assert(t, errors.Is(err, ErrInvalidAnswer) && !errors.IsAny(err, ErrNotSent, ErrBroken), "%v", err)
+				assert.Assert(t, errors.Is(err, head.ErrInvalid), "%v", err)
 			})
 		}
 	}
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -172,6 +172,9 @@
 		resp, err := http.ReadResponse(br, &http.Request{Method: r.Method}) //nolint:bodyclose // Answer.Close ends the connection, and the body with it
 		if err != nil {
 			limited.release()
+			if limited.invalid != nil {
+				err = limited.invalid
+			}
 			return nil, readError(err)
 		}
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
