fix(call): broken answers of plain services reach no caller of the product's own interface

What was seen: with a stand-in that writes raw bytes, calls to a plain service got answers with status 000, 001, 099, 600 and 999, with blanks in the names of fields, and with bodies that were not the service's, on new, pooled and reused connections. A status below 100 made the handler of the interface panic and closed the caller's connection. A 503 with such a field that means that the call did not run was believed: the booking was sent to a second server. An answer with status 101 held the call for minutes beyond its limit.

Change: head.Transport checks the bytes of each head on its way to net/http's transport, also on connections that are used again and encrypted ones, and looks once more at what was read. head.NewClient follows no redirects. HTTPSender uses it; a broken answer counts as lost, and is no sign of a crash of the server, so that it quarantines no call.

--- a/internal/call/guard.go
+++ b/internal/call/guard.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/head"
 	"github.com/tarragonspur/tarragonspur/internal/poison"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
 	"github.com/tarragonspur/tarragonspur/internal/sched"
@@ -52,12 +53,12 @@
 }
 
 // reportEnd records how a guarded send ended. A connection that breaks before the answer counts as a crash of the
-// backend server, because a plain service has no other sign of one; a timeout does not.
+// backend server, because a plain service has no other sign of one; a timeout and a broken answer do not.
 func reportEnd(run *poison.Run, s SendResult) {
 	switch {
 	case s.Event == EventAnswered:
 		run.Ended(true)
-	case s.Event != EventLost, isContextError(s.Err), errors.IsAny(s.Err, ErrAnswerTooLarge, ErrNoMemory), s.Err == nil:
+	case s.Event != EventLost, isContextError(s.Err), errors.IsAny(s.Err, ErrAnswerTooLarge, ErrNoMemory, head.ErrInvalid), s.Err == nil:
 		run.Ended(false)
 	default:
 		run.Died()
--- a/internal/call/send.go
+++ b/internal/call/send.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/head"
 	"github.com/tarragonspur/tarragonspur/internal/memory"
 )
 
@@ -70,17 +71,14 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
 	}}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			DisableCompression:     true,
-			DisableKeepAlives:      disableKeepAlives,
-			IdleConnTimeout:        idleTimeout,
-			MaxIdleConnsPerHost:    maxIdlePerBackend,
-			MaxResponseHeaderBytes: maxHeadBytes,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	return head.NewClient(&http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		DisableKeepAlives:      disableKeepAlives,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    maxIdlePerBackend,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	})
 }
 
 // Close closes the idle connections.
