fix(engine): broken answers of engines are neither streams, refusals nor proofs of an end

What was seen: with a stand-in that writes raw bytes, an answer with status 000 or with a blank in the name of a field passed for a stream that starts or goes on, for a load report and for an order that was accepted. A 503 with such a head passed for a start that did not run. The call that ends a generation took status 000, or a 404 with such a head, for the proof that the generation had ended, after which its request may start at another engine. The client also followed redirects: a cancel that was answered with one turned into a read of another page, whose 200 was taken for the end.

Cause: each status below 300 counted as a success, and net/http's client accepts such heads and follows redirects by itself.

Change: the client checks heads (head.NewClient), follows no redirects and compares with 200 too. A broken answer to the question whether an engine has crashed shows that it has not.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/flow"
+	"github.com/tarragonspur/tarragonspur/internal/head"
 )
 
 const (
@@ -56,7 +57,7 @@
 func NewClient() *Client {
 	fresh := newTransport()
 	fresh.DisableKeepAlives = true
-	return &Client{unpooled: &http.Client{Transport: fresh}, pools: make(map[netip.AddrPort]*http.Client)}
+	return &Client{unpooled: head.NewClient(fresh), pools: make(map[netip.AddrPort]*http.Client)}
 }
 
 // newTransport returns a transport without a limit on the time to the first byte: the user of a stream times it out
@@ -80,7 +81,7 @@
 	defer c.mu.Unlock()
 	p := c.pools[addr]
 	if p == nil {
-		p = &http.Client{Transport: newTransport()}
+		p = head.NewClient(newTransport())
 		c.pools[addr] = p
 	}
 	return p
@@ -191,7 +192,7 @@
 	if err != nil {
 		return nil, classify(err)
 	}
-	if resp.StatusCode < http.StatusMultipleChoices {
+	if head.IsSuccess(resp.StatusCode) {
 		return resp, nil
 	}
 	_ = resp.Body.Close()
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/engine"
+	"github.com/tarragonspur/tarragonspur/internal/head"
 	"github.com/tarragonspur/tarragonspur/internal/poison"
 	"github.com/tarragonspur/tarragonspur/pkg/config"
 )
@@ -92,7 +93,7 @@
 	ctx, stop := context.WithTimeout(ctx, probeTimeout)
 	defer stop()
 	_, err := r.Engines.Progress(ctx, a.backend.Address, AttemptID(a.request, a.attempt))
-	if err == nil || ctx.Err() != nil || errors.Is(err, engine.ErrRefused) {
+	if err == nil || ctx.Err() != nil || errors.IsAny(err, engine.ErrRefused, head.ErrInvalid) {
 		a.run.Survived()
 		return
 	}
