fix(store): broken answers of the object API are no writes, removals or conflicts

What was seen: with a stand-in that writes raw bytes, an answer with status 000 passed for an object that was written or removed, and one with a blank in the name of a field for a missing object, a conflict or compacted changes. A removal that was answered with a redirect turned into a read of another page and counted as done.

Cause: each status below 300 counted as a success, and net/http's client accepts such heads and follows redirects.

Change: the client checks heads, follows no redirects and compares with 200 too.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/head"
 	"github.com/tarragonspur/tarragonspur/internal/object"
 )
 
@@ -45,7 +46,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
 	}}
-	return &Client{Address: addr, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeadBytes}}}
+	return &Client{Address: addr, http: head.NewClient(&http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeadBytes})}
 }
 
 // Close closes the idle connections.
@@ -141,7 +142,7 @@
 		c.http.CloseIdleConnections()
 		return nil, classify(method, err)
 	}
-	if resp.StatusCode < http.StatusMultipleChoices {
+	if head.IsSuccess(resp.StatusCode) {
 		return resp, nil
 	}
 	_ = resp.Body.Close()
