fix(ctrl): broken answers of hosts are no accepted or refused changes

What was seen: with a stand-in that writes raw bytes, an operator's command took a change for accepted after status 000, and for refused after a 403 with a blank in the name of a field, also on encrypted connections.

Cause: each status below 300 counted as a success, and net/http's client accepts such heads.

Change: the client checks heads, follows no redirects and compares with 200 too. A broken answer is like none: the change is sent again under its ID, and its outcome is not known after the last attempt.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -19,6 +19,7 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/admin"
 	"github.com/tarragonspur/tarragonspur/internal/change"
+	"github.com/tarragonspur/tarragonspur/internal/head"
 	"github.com/tarragonspur/tarragonspur/internal/refuse"
 )
 
@@ -136,7 +137,7 @@
 	if err != nil {
 		return nil, 0, errors.Mark(errors.Wrap(err, "read response"), ErrUnreachable)
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
+	if !head.IsSuccess(resp.StatusCode) {
 		return nil, 0, responseError(resp.StatusCode, text)
 	}
 	// Responses without a version have no Etag.
@@ -146,7 +147,7 @@
 
 func (c *Client) client() *http.Client {
 	if c.http == nil {
-		c.http = &http.Client{Transport: &http.Transport{TLSClientConfig: c.TLS}}
+		c.http = head.NewClient(&http.Transport{TLSClientConfig: c.TLS})
 	}
 	return c.http
 }
