fix(client): broken answers reach no program

What was seen: with a stand-in that writes raw bytes, Book and Do returned answers with status 000, 600 or 101 and such with blanks in the names of fields as answers, Stream their tokens, and a refusal with such a head said that the request had not run.

Cause: only statuses from 400 on were looked at, and net/http's client accepts such heads.

Change: the client checks heads; an answer that a program's own http.Client has read is checked as far as that shows it. A broken answer is an ErrConnection that says that the request may have run; a booking is sent again under its key only.

Result: TestBrokenAnswersOfHosts failed before for 20 of 31 kinds of answers in each of four cases, TestBrokenAnswersToAClientOfTheProgram in all four; both hold now.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -19,6 +19,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
+
+	"github.com/tarragonspur/tarragonspur/internal/head"
 )
 
 const (
@@ -59,10 +61,7 @@
 
 func newHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	return head.NewClient(&http.Transport{DialContext: dialer.DialContext})
 }
 
 // request is what all attempts of one request send.
@@ -106,6 +105,10 @@
 	if err != nil {
 		return nil, newSendError(err)
 	}
+	if err := head.CheckResponse(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, newConnectionError(err)
+	}
 	return resp, nil
 }
 
