fix(httpd): a process whose broken answers say 200 is not ready

What was seen: with a stand-in that writes raw bytes, the check that waits for a process's readiness took a 200 with a blank in the name of a field for its readiness. Statuses that HTTP does not have were handled already, as the check asks for 200 only.

Cause: net/http's client accepts such heads.

Change: the check uses a client that checks heads. The platform's own question to a host's readiness is not ours to read.

Result: TestBrokenAnswersAreNotReady failed before for 9 of 31 kinds of answers and holds now.

--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/head"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
@@ -58,14 +59,16 @@
 	}
 }
 
-// AwaitOK polls a URL at the interval until the response has status 200. It fails when ctx is cancelled.
+// AwaitOK polls a URL at the interval until a valid response has status 200. It fails when ctx is cancelled.
 func AwaitOK(ctx context.Context, url string, interval time.Duration) error {
+	client := head.NewClient(&http.Transport{})
+	defer client.CloseIdleConnections()
 	for {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 		if err != nil {
 			return errors.Wrap(err, "build request")
 		}
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := client.Do(req)
 		if err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
