--- a/internal/cmds/soak.go
+++ b/internal/cmds/soak.go
@@ -23,6 +23,7 @@
 	hasStatements, hasPathFaults   bool
 	hasRollout                     bool
 	hasFloods, hasRestores         bool
+	hasBrokenAnswers               bool
 	logs                           string
 }
 
@@ -44,6 +45,7 @@
 	c.cmd.Flags().BoolVar(&c.opts.hasRollout, "rollout", false, "a new version of the plain service's servers is ordered, good or bad by the seed")
 	c.cmd.Flags().BoolVar(&c.opts.hasFloods, "floods", false, "callers leave heads and bodies unfinished on many connections; the hosts have little memory")
 	c.cmd.Flags().BoolVar(&c.opts.hasRestores, "restores", false, "the store comes back from copies some seconds old")
+	c.cmd.Flags().BoolVar(&c.opts.hasBrokenAnswers, "broken", false, "answers of the store and of backend servers have heads that are not valid HTTP")
 	c.cmd.Flags().StringVar(&c.opts.logs, "logs", "", "directory in which each run leaves the hosts' logs, the faults and the callers' outcomes")
 	c.cmd.Flags().IntVar(&c.opts.hosts, "hosts", 3, "entry hosts, each a process")
 	c.cmd.Flags().IntVar(&c.opts.engines, "engines", 8, "backend servers, half of them model engines")
@@ -61,7 +63,7 @@
 		s := &soak.Soak{
 			Seed: c.opts.seed + uint64(i), Duration: c.opts.duration, Hosts: c.opts.hosts, Engines: c.opts.engines, Callers: c.opts.callers,
 			Recovery: c.opts.recovery, DeadlyRatio: c.opts.deadlyRatio, HasStatements: c.opts.hasStatements, HasPathFaults: c.opts.hasPathFaults,
-			HasRollout: c.opts.hasRollout, HasFloods: c.opts.hasFloods, HasRestores: c.opts.hasRestores,
+			HasRollout: c.opts.hasRollout, HasFloods: c.opts.hasFloods, HasRestores: c.opts.hasRestores, HasBrokenAnswers: c.opts.hasBrokenAnswers,
 			Logs: c.opts.logs, Binary: binary, Out: cmd.OutOrStdout(),
 		}
 		if err := s.Run(cmd.Context()); err != nil {
--- a/internal/devel/platform.go
+++ b/internal/devel/platform.go
@@ -81,7 +81,7 @@
 	}
 	req.Host = town.Host
 	req.Header = town.CallerHeader("trial", path)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := newClient().Do(req)
 	if err != nil {
 		return "", errors.Wrap(err, "send request")
 	}
--- a/internal/devel/try.go
+++ b/internal/devel/try.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
+
+	"github.com/tarragonspur/tarragonspur/internal/head"
 )
 
 // ErrTrial means that the trial got a wrong answer.
@@ -146,6 +148,9 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := newClient().Do(req)
 	return resp, errors.Wrap(err, "send request")
 }
+
+// newClient returns a client for one request.
+func newClient() *http.Client { return head.NewClient(&http.Transport{DisableKeepAlives: true}) }
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
+	"github.com/tarragonspur/tarragonspur/internal/head"
 )
 
 // meanRequestInterval is the mean time between two requests of one caller.
@@ -24,7 +25,7 @@
 
 func (c *caller) run(ctx context.Context) {
 	// The transport pools connections by host, so open ones are reused until the host's process ends.
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	client := head.NewClient(&http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true})
 	defer client.CloseIdleConnections()
 	paths := []string{town.ReadPath, town.BookPath, town.ReportPath}
 	if c.soak.HasPathFaults {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -159,6 +159,7 @@
 	s.town.Evacuate(false)
 	for _, p := range append(s.storeProxies, s.serverProxies...) {
 		p.setMode(passThrough)
+		p.setBroken(nil)
 	}
 	for _, h := range s.hosts {
 		h.signal(syscall.SIGCONT)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tarragonspur/tarragonspur/internal/fakes/broken"
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 	"github.com/tarragonspur/tarragonspur/internal/httpd"
 )
@@ -49,6 +50,9 @@
 	// endCut ends the span of the current mode in cuts; nil while the mode lets everything through.
 	endCut func()
 
+	// brokenBy breaks the answers that begin from now on; nil breaks none.
+	brokenBy *broken.Fault
+
 	// Owners maps requests to hosts; nil if paths of single hosts are not disturbed.
 	Owners *owners
 	// cuts records when the path of a host was cut or silent.
@@ -208,10 +212,13 @@
 func (p *proxy) copy(to, from net.Conn, l *link, isResponse bool) (isWhole bool, err error) {
 	buf := make([]byte, bufferBytes)
 	hasDropped := false
-	for {
+	for isFirst := true; ; isFirst = false {
 		n, err := from.Read(buf)
+		data := buf[:n]
 		if !isResponse {
-			p.identify(l, string(buf[:n]))
+			p.identify(l, string(data))
+		} else if isFirst {
+			data = p.breakAnswer(data)
 		}
 		p.awaitPath(l, isResponse)
 		m := p.currentMode()
@@ -220,7 +227,7 @@
 		}
 		hasDropped = hasDropped || n > 0 && (m == blackhole || m == dropResponses && isResponse)
 		if !hasDropped {
-			if _, err := to.Write(buf[:n]); err != nil {
+			if _, err := to.Write(data); err != nil {
 				return true, err
 			}
 		}
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
+	"github.com/tarragonspur/tarragonspur/internal/head"
 )
 
 // settlingTime is how long hosts may take to detect that all faults are undone.
@@ -74,6 +75,8 @@
 	for _, o := range rec.outcomes {
 		sent[o.id] = true
 		switch {
+		case errors.Is(o.err, head.ErrInvalid):
+			report("request %s got an answer that is not valid HTTP: %v", o.id, o.err)
 		case o.isServed() && (o.body != expectedBody(o.path, o.id) || !o.signed):
 			report("request %s got a wrong, incomplete or unsigned response: %.80q", o.id, o.body)
 		case o.err != nil && o.body != "" && !strings.HasPrefix(expectedBody(o.path, o.id), o.body):
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -52,6 +52,8 @@
 	HasFloods bool
 	// HasRestores makes the store come back from copies some seconds old.
 	HasRestores bool
+	// HasBrokenAnswers breaks the heads of answers of the store and of backend servers.
+	HasBrokenAnswers bool
 	// Hosts, Engines and Callers are the numbers of entry hosts, backend servers and callers.
 	Hosts, Engines, Callers int
 	// Binary is the path of the program that runs as an entry host.
@@ -150,7 +152,15 @@
 			s.injectFaults(runCtx, restoreStream, restores())
 		}
 	}()
+	brokenEnded := make(chan struct{})
+	go func() {
+		defer close(brokenEnded)
+		if s.HasBrokenAnswers {
+			s.injectFaults(runCtx, brokenStream, brokenAnswers())
+		}
+	}()
 	s.injectFaults(runCtx, 0, faults())
+	<-brokenEnded
 	<-pathFaultsEnded
 	<-floodsEnded
 	<-restoresEnded
