--- a/internal/fakes/broken/server.go
+++ b/internal/fakes/broken/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -21,7 +22,7 @@
 
 // Server answers each request with the text that Answer returns for it.
 type Server struct {
-	// Answer returns the answer to a request, whose body has been read.
+	// Answer returns the answer to a request.
 	Answer func(r *http.Request) string
 	// KeepsOpen leaves connections open after an answer.
 	KeepsOpen bool
@@ -87,9 +88,11 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		s.mu.Lock()
 		s.requests = append(s.requests, r)
 		s.mu.Unlock()
