fix(frames): broken answers of other hosts are neither ends of runs, lists nor replies

What was seen: a stand-in of another host answered over HTTP/2 with status 000, 099, 101, 600, with one that is no number of three digits, or with none. The host that had asked took the answer for the end of a run, after which the stream may go on elsewhere; for what the store holds; and for the messages of a peer. Names of fields with blanks or control bytes were refused already, and so was HTTP/1.1.

Cause: gRPC takes an answer by its trailers if the type of its content is gRPC's, and never looks at the status.

Change: credentials whose connections read the fields of each head, and fail with the error of a broken head unless the status is 200 or that of an interim answer; trailers have none. The three clients of other hosts use them, encrypted or not.

--- a/internal/assist/client.go
+++ b/internal/assist/client.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/tarragonspur/tarragonspur/internal/assist/astpb"
+	"github.com/tarragonspur/tarragonspur/internal/frames"
 	"github.com/tarragonspur/tarragonspur/internal/front"
 	"github.com/tarragonspur/tarragonspur/internal/mirror"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
@@ -61,7 +62,7 @@
 func ask(ctx context.Context, host mirror.Host, request *astpb.EndRunRequest) (*astpb.EndRunReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, hostTimeout)
 	defer cancel()
-	conn, err := grpc.NewClient("passthrough:///"+host.Address.String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient("passthrough:///"+host.Address.String(), grpc.WithTransportCredentials(frames.Credentials(insecure.NewCredentials())))
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to host %s", host.Name)
 	}
--- a/internal/mirror/link.go
+++ b/internal/mirror/link.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/tarragonspur/tarragonspur/internal/epoch"
+	"github.com/tarragonspur/tarragonspur/internal/frames"
 	"github.com/tarragonspur/tarragonspur/internal/intake"
 	"github.com/tarragonspur/tarragonspur/internal/mirror/mirpb"
 )
@@ -112,7 +113,7 @@
 	var err error
 	c.ClientConn, err = grpc.NewClient("passthrough:///"+to.Address.String(),
 		grpc.WithContextDialer(c.dial),
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(frames.Credentials(insecure.NewCredentials())),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to host %s", to.Name)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 	grpcpeer "google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
+	"github.com/tarragonspur/tarragonspur/internal/frames"
 	"github.com/tarragonspur/tarragonspur/internal/intake"
 	"github.com/tarragonspur/tarragonspur/internal/peer/peerpb"
 	"github.com/tarragonspur/tarragonspur/internal/secure"
@@ -144,7 +145,7 @@
 	}
 	conn, err := grpc.NewClient(
 		"passthrough:///"+addr.String(),
-		grpc.WithTransportCredentials(creds),
+		grpc.WithTransportCredentials(frames.Credentials(creds)),
 		grpc.WithInitialWindowSize(windowBytes),
 		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepAliveTime, Timeout: keepAliveTimeout, PermitWithoutStream: true}),
