fix(idem): a recorded answer whose status HTTP does not have is not returned

What was seen: a version before this could record the broken answer of a booking, such as one with status 000, and each later request with the key had its connection closed, because such a status can't be written.

Cause: a record counts as an answer if it holds one.

Change: a record whose answer has no status of HTTP stands for a call that may have run and whose answer is not known.

Result: the new case of TestLookup failed before and holds now.

--- a/internal/head/checker.go
+++ b/internal/head/checker.go
@@ -93,7 +93,7 @@
 // nextOfStatus checks a byte of the status line, up to the one after the status.
 func (c *Checker) nextOfStatus(b byte) error {
 	if c.column == len(statusLine) {
-		if !isStatus(c.status) {
+		if !IsStatus(c.status) {
 			return errors.Wrapf(ErrInvalid, "status %03d", c.status)
 		}
 		if b != ' ' && b != '\r' && b != '\n' {
@@ -122,8 +122,8 @@
 	}
 }
 
-// isStatus reports whether a status is one of HTTP that an answer may have; no request asks for other protocols.
-func isStatus(status int) bool {
+// IsStatus reports whether a status is one of HTTP that an answer may have; no request asks for other protocols.
+func IsStatus(status int) bool {
 	return status >= minStatus && status <= maxStatus && status != http.StatusSwitchingProtocols
 }
 
--- a/internal/head/transport.go
+++ b/internal/head/transport.go
@@ -90,7 +90,7 @@
 // CheckResponse checks a response that net/http has read, which does not show what was wrong with lines that it has joined or skipped. The
 // error is ErrInvalid.
 func CheckResponse(resp *http.Response) error {
-	if !isStatus(resp.StatusCode) {
+	if !IsStatus(resp.StatusCode) {
 		return errors.Wrapf(ErrInvalid, "status %03d", resp.StatusCode)
 	}
 	for name := range resp.Header {
--- a/internal/idem/record.go
+++ b/internal/idem/record.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tarragonspur/tarragonspur/internal/call"
+	"github.com/tarragonspur/tarragonspur/internal/head"
 	"github.com/tarragonspur/tarragonspur/internal/object"
 )
 
@@ -77,6 +78,9 @@
 	switch {
 	case r.Request != request:
 		return VerdictReused
+	case r.State == StateAnswered && r.Answer != nil && !head.IsStatus(r.Answer.Status):
+		// Versions before checked no heads, so that their records may hold broken answers.
+		return VerdictUnknown
 	case r.State == StateAnswered && r.Answer != nil:
 		return VerdictAnswer
 	case r.State == StateAnswered:
--- a/internal/idem/registry_test.go
+++ b/internal/idem/registry_test.go
@@ -127,6 +127,9 @@
 		{"answer too large", "a", func(ctx context.Context, c call.Claim) {
 			c.Complete(ctx, call.Answered, call.Answer{Body: []byte(strings.Repeat("x", 1<<17))})
 		}, "kiln 2", refuse.CodeAnswerTooLarge, refuse.MayHaveRun},
+		{"answer with a status that HTTP does not have", "a", func(ctx context.Context, c call.Claim) {
+			c.Complete(ctx, call.Answered, call.Answer{Status: 0, Body: []byte("done")})
+		}, "kiln 2", refuse.CodeInterrupted, refuse.MayHaveRun},
 		{"not run", "a", func(ctx context.Context, c call.Claim) { c.Complete(ctx, call.NotSent, call.Answer{}) }, "kiln 2", "", ""},
 	}
 	for _, tt := range tests {
