--- a/internal/assist/broken_test.go
+++ b/internal/assist/broken_test.go
@@ -28,7 +28,7 @@
 		h := &broken.Host{Head: broken.SoundHostHead(), Message: moved}
 		assert.NilError(t, move(t, mirror.Host{Name: "h1", Address: h.Start(t)}))
 	})
-	for _, head := range broken.BrokenHostHeads() {
+	for _, head := range broken.HostHeads() {
 		t.Run(head.Name, func(t *testing.T) {
 			h := &broken.Host{Head: head, Message: moved}
 			err := move(t, mirror.Host{Name: "h1", Address: h.Start(t)})
--- a/internal/fakes/broken/host.go
+++ b/internal/fakes/broken/host.go
@@ -25,8 +25,8 @@
 	return HostHead{"sound", []hpack.HeaderField{{Name: ":status", Value: "200"}, {Name: "content-type", Value: "application/grpc"}}}
 }
 
-// BrokenHostHeads returns heads that no host may send.
-func BrokenHostHeads() []HostHead {
+// HostHeads returns heads that no host may send.
+func HostHeads() []HostHead {
 	sound := SoundHostHead().Fields
 	heads := []HostHead{
 		{"no status", sound[1:]},
--- a/internal/mirror/broken_test.go
+++ b/internal/mirror/broken_test.go
@@ -12,7 +12,7 @@
 
 // TestBrokenAnswersOfReadersAreNotRead guards against a broken answer of a reading host that passes for what the store holds.
 func TestBrokenAnswersOfReadersAreNotRead(t *testing.T) {
-	for _, head := range append(broken.BrokenHostHeads(), broken.SoundHostHead()) {
+	for _, head := range append(broken.HostHeads(), broken.SoundHostHead()) {
 		t.Run(head.Name, func(t *testing.T) {
 			h := &broken.Host{Head: head, Message: &mirpb.ReadReply{Revision: 9, Removed: []string{"a"}}}
 			at := h.Start(t)
--- a/internal/peer/broken_test.go
+++ b/internal/peer/broken_test.go
@@ -17,7 +17,7 @@
 // TestBrokenAnswersOfPeersAreNoReplies guards against broken answers of other hosts whose messages count as theirs.
 func TestBrokenAnswersOfPeersAreNoReplies(t *testing.T) {
 	batch := &peerpb.Batch{From: "entry-1", Messages: []*peerpb.Message{{}}}
-	for _, head := range append(broken.BrokenHostHeads(), broken.SoundHostHead()) {
+	for _, head := range append(broken.HostHeads(), broken.SoundHostHead()) {
 		t.Run(head.Name, func(t *testing.T) {
 			h := &broken.Host{Head: head, Message: batch}
 			at := h.Start(t)
