--- a/internal/head/checker.go
+++ b/internal/head/checker.go
@@ -71,18 +71,18 @@
 		case httpguts.IsTokenRune(rune(b)):
 			c.state = inName
 		default:
-			return errors.Wrapf(ErrInvalid, "byte %q at the start of a field", b)
+			return errors.Wrapf(ErrInvalid, "byte %q at the start of a field", []byte{b})
 		}
 	case inName:
 		switch {
 		case b == ':':
 			c.state = inValue
 		case !httpguts.IsTokenRune(rune(b)):
-			return errors.Wrapf(ErrInvalid, "byte %q in the name of a field", b)
+			return errors.Wrapf(ErrInvalid, "byte %q in the name of a field", []byte{b})
 		}
 	case atEnd:
 		if b != '\n' {
-			return errors.Wrapf(ErrInvalid, "byte %q at the end of the head", b)
+			return errors.Wrapf(ErrInvalid, "byte %q at the end of the head", []byte{b})
 		}
 		c.endHead()
 	case inBody:
@@ -97,14 +97,14 @@
 			return errors.Wrapf(ErrInvalid, "status %03d", c.status)
 		}
 		if b != ' ' && b != '\r' && b != '\n' {
-			return errors.Wrapf(ErrInvalid, "byte %q after the status", b)
+			return errors.Wrapf(ErrInvalid, "byte %q after the status", []byte{b})
 		}
 		c.state = inReason
 		return c.next(b)
 	}
 	isDigit := b >= '0' && b <= '9'
 	if want := statusLine[c.column]; b != want && (want != '0' || !isDigit) {
-		return errors.Wrapf(ErrInvalid, "byte %q in the status line", b)
+		return errors.Wrapf(ErrInvalid, "byte %q in the status line", []byte{b})
 	}
 	if isDigit && c.column >= len(statusLine)-3 {
 		c.status = 10*c.status + int(b-'0')
--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -141,3 +141,22 @@
 		})
 	}
 }
+
+// TestBrokenAnswersReachNoCaller has seeds on which callers got answers with broken heads.
+func TestBrokenAnswersReachNoCaller(t *testing.T) {
+	binary := buildBinary(t)
+	for _, tc := range []struct {
+		seed  uint64
+		cause string
+	}{
+		{2, "the name of the body's length ended in a blank, and callers got bytes after the body"},
+		{3, "a status of 600 was passed on"},
+	} {
+		t.Run(tc.cause, func(t *testing.T) {
+			t.Parallel()
+			var out bytes.Buffer
+			s := &Soak{Seed: tc.seed, Duration: 8 * time.Second, HasBrokenAnswers: true, Hosts: 3, Engines: 8, Callers: 12, Binary: binary, Out: &out}
+			assert.NilError(t, s.Run(t.Context()), out.String())
+		})
+	}
+}
