test(front): one check of streams that break and whose next server answers with no part of them

Cause: two tests had the same steps. Change: the steps and checks of TestErrorOfTheNextServerIsNotInTheStream are a function, unchanged, that the test of broken answers uses too.

--- a/internal/front/broken_test.go
+++ b/internal/front/broken_test.go
@@ -92,30 +92,10 @@
 	for _, fault := range broken.Faults() {
 		for _, path := range []string{"/note/x", "/report/x"} {
 			t.Run(fault.Name+path, func(t *testing.T) {
-				r := newRig(t, 5)
-				var sends atomic.Int32
-				for _, e := range r.engines {
-					e.Script = func(conn net.Conn, q *plat.Request) bool {
-						switch {
-						case q.Header.Get("Token-Usage") == "":
-							return false
-						case sends.Add(1) > 1:
-							_, _ = io.WriteString(conn, fault.Apply(sound))
-							return true
-						}
-						if backup := q.Header.Get("Kv-Backup"); backup != "" {
-							r.copies.Add(backup + "/" + attempt)
-						}
-						plat.WriteStreamHeader(conn, q)
-						_ = plat.WriteChunk(conn, plat.Event(attempt, 0)+plat.Event(attempt, 1))
-						return true
-					}
-				}
-				got := r.do(t, streamRequest(path))
-				assert.Assert(t, sends.Load() >= 2, "the stream goes on at the next server")
-				assert.Equal(t, got.status, http.StatusOK)
-				assert.Equal(t, got.text, fullStream(2))
-				assert.Assert(t, got.err != nil, "the stream must not end as if it were complete")
+				checkStreamThatGoesOn(t, path, func(conn net.Conn, _ *plat.Request) bool {
+					_, _ = io.WriteString(conn, fault.Apply(sound))
+					return true
+				})
 			})
 		}
 	}
@@ -154,7 +134,7 @@
 					e.MarkRun(q)
 					plat.WriteStreamHeader(conn, q)
 					_ = plat.WriteChunk(conn, plat.Event(attempt, 0))
-					return true // the connection breaks, and the run goes on
+					return true // the connection breaks while the engine works on the run
 				}
 			}
 			got := r.do(t, streamRequest("/note/x"))
--- a/internal/front/errors_test.go
+++ b/internal/front/errors_test.go
@@ -98,35 +98,42 @@
 	} {
 		for _, path := range []string{"/note/x", "/report/x"} {
 			t.Run(tc.name+" "+path, func(t *testing.T) {
-				r := newRig(t, 5)
-				var sends atomic.Int32
-				for _, e := range r.engines {
-					e.Script = func(conn net.Conn, q *plat.Request) bool {
-						switch {
-						case q.Header.Get("Token-Usage") == "":
-							// A copy is freed.
-							return false
-						case sends.Add(1) > 1:
-							return tc.next(conn, q)
-						}
-						if backup := q.Header.Get("Kv-Backup"); backup != "" {
-							r.copies.Add(backup + "/" + attempt)
-						}
-						plat.WriteStreamHeader(conn, q)
-						_ = plat.WriteChunk(conn, plat.Event(attempt, 0)+plat.Event(attempt, 1))
-						return true
-					}
-				}
-				got := r.do(t, streamRequest(path))
-				assert.Assert(t, sends.Load() >= 2, "the stream goes on at the next server")
-				assert.Equal(t, got.status, http.StatusOK)
-				assert.Equal(t, got.text, fullStream(2))
-				assert.Assert(t, got.err != nil, "the stream must not end as if it were complete")
+				checkStreamThatGoesOn(t, path, tc.next)
 			})
 		}
 	}
 }
 
+// checkStreamThatGoesOn sends a stream that breaks after two events and that the next server answers with no part of it. The caller must
+// receive the two events only, and no proper end.
+func checkStreamThatGoesOn(t *testing.T, path string, next plat.Script) {
+	t.Helper()
+	r := newRig(t, 5)
+	var sends atomic.Int32
+	for _, e := range r.engines {
+		e.Script = func(conn net.Conn, q *plat.Request) bool {
+			switch {
+			case q.Header.Get("Token-Usage") == "":
+				// A copy is freed.
+				return false
+			case sends.Add(1) > 1:
+				return next(conn, q)
+			}
+			if backup := q.Header.Get("Kv-Backup"); backup != "" {
+				r.copies.Add(backup + "/" + attempt)
+			}
+			plat.WriteStreamHeader(conn, q)
+			_ = plat.WriteChunk(conn, plat.Event(attempt, 0)+plat.Event(attempt, 1))
+			return true
+		}
+	}
+	got := r.do(t, streamRequest(path))
+	assert.Assert(t, sends.Load() >= 2, "the stream goes on at the next server")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.text, fullStream(2))
+	assert.Assert(t, got.err != nil, "the stream must not end as if it were complete")
+}
+
 // TestHeadThatStopsInTheMiddleIsNoAnswer guards against a cut head that callers get as a whole answer with an empty or short body.
 func TestHeadThatStopsInTheMiddleIsNoAnswer(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nResponse-Signature: s1\r\n"
