--- a/review/fakes-3/bodies.go
+++ b/review/fakes-3/bodies.go
@@ -8,7 +8,7 @@
 
 const (
 	// crowd is the number of channels on which a body is sent and not ended.
-	crowd     = 2000
+	crowd     = 1500
 	calmCrowd = 100
 	// bodyBytes is the size of a body; manifests allow 4 MiB.
 	bodyBytes = 64 << 10
