--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
-#!/bin/bash
-# Builds the stand-ins of the third review into target/, after the build of the deploy file.
-set -e
-cd "$(dirname "$0")/fakes-3"
-go build -o ../../target/review3 .
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the third review start. Needs only the standard library.
+set -euo pipefail
+cd "$(dirname "$0")"
+go build -o ../target/review3 ./fakes/rig3
--- a/review/fakes-3/restore.go
+++ b/review/fakes/rig3/restore.go
@@ -35,7 +35,7 @@
 	sent := 0
 	ask := func(h *host, key string) (reply, string) {
 		sent++
-		name := id("r", sent)
+		name := fmt.Sprintf("r-%d", sent)
 		r := send(w.callers(h), "GET", "/read/1", name, key, 2*time.Second, nil, nil)
 		w.rec.add("request %s with %s to %s: %s", name, key, h.name, r)
 		return r, name
