--- a/review/fakes/rig3/engine.go
+++ b/review/fakes/rig3/engine.go
@@ -156,20 +156,32 @@
 	return map[string]any{
 		"version": version,
 		"routes": []any{
-			map[string]any{"name": "booking", "host": "a.example", "pathPrefix": "/book/", "routeKind": "non_idempotent", "timeoutMs": 2000, "targetLatencyMs": 250,
-				"priority": 2, "service": "plain", "maxAttempts": 1, "public": false, "sticky": false, "resumable": false, "allowedRegions": []string{}},
-			map[string]any{"name": "read", "host": "a.example", "pathPrefix": "/read/", "routeKind": "idempotent", "timeoutMs": 2000, "targetLatencyMs": 250,
-				"priority": 2, "service": "plain", "maxAttempts": 2, "public": false, "sticky": false, "resumable": false, "allowedRegions": []string{}},
-			map[string]any{"name": "report", "host": "a.example", "pathPrefix": "/report/", "routeKind": "streaming", "timeoutMs": 39000, "targetLatencyMs": 1800,
-				"priority": 1, "service": "model", "maxAttempts": 1, "public": false, "sticky": true, "resumable": false, "itlTargetMs": 180, "allowedRegions": []string{}},
-			map[string]any{"name": "note", "host": "a.example", "pathPrefix": "/note/", "routeKind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 1500,
-				"priority": 0, "service": "model", "maxAttempts": 2, "public": false, "sticky": true, "resumable": true, "itlTargetMs": 180, "allowedRegions": []string{}},
+			map[string]any{
+				"name": "booking", "host": "a.example", "pathPrefix": "/book/", "routeKind": "non_idempotent", "timeoutMs": 2000, "targetLatencyMs": 250,
+				"priority": 2, "service": "plain", "maxAttempts": 1, "public": false, "sticky": false, "resumable": false, "allowedRegions": []string{},
+			},
+			map[string]any{
+				"name": "read", "host": "a.example", "pathPrefix": "/read/", "routeKind": "idempotent", "timeoutMs": 2000, "targetLatencyMs": 250,
+				"priority": 2, "service": "plain", "maxAttempts": 2, "public": false, "sticky": false, "resumable": false, "allowedRegions": []string{},
+			},
+			map[string]any{
+				"name": "report", "host": "a.example", "pathPrefix": "/report/", "routeKind": "streaming", "timeoutMs": 39000, "targetLatencyMs": 1800,
+				"priority": 1, "service": "model", "maxAttempts": 1, "public": false, "sticky": true, "resumable": false, "itlTargetMs": 180, "allowedRegions": []string{},
+			},
+			map[string]any{
+				"name": "note", "host": "a.example", "pathPrefix": "/note/", "routeKind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 1500,
+				"priority": 0, "service": "model", "maxAttempts": 2, "public": false, "sticky": true, "resumable": true, "itlTargetMs": 180, "allowedRegions": []string{},
+			},
 		},
 		"services": []any{
 			map[string]any{"name": "plain", "healthPath": "/healthz", "maxConnections": 100, "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0},
-			map[string]any{"name": "model", "healthPath": "/healthz", "maxConnections": 302, "protocol": "h1", "tls": false, "coldStartS": 1.0, "coldPerS": 39.0,
-				"engine": map[string]any{"slots": 32, "kvCapacityTokens": 34297, "kvTokenBytes": 262144, "linkCapacityMbps": 38000.0, "moves": true, "backups": true,
-					"stride": 4, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleTtlS": 5.0, "models": []any{map[string]any{"name": "m"}}}},
+			map[string]any{
+				"name": "model", "healthPath": "/healthz", "maxConnections": 302, "protocol": "h1", "tls": false, "coldStartS": 1.0, "coldPerS": 39.0,
+				"engine": map[string]any{
+					"slots": 32, "kvCapacityTokens": 34297, "kvTokenBytes": 262144, "linkCapacityMbps": 38000.0, "moves": true, "backups": true,
+					"stride": 4, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleTtlS": 5.0, "models": []any{map[string]any{"name": "m"}},
+				},
+			},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "t1", "apiKeys": keys, "priority": 1, "allowedRegions": []string{}}},
--- a/review/fakes/rig3/main.go
+++ b/review/fakes/rig3/main.go
@@ -28,7 +28,7 @@
 	hosts     []*host
 }
 
-var cases = map[string]func(*world) outcome{"restore": restore, "twice": twice}
+var cases = map[string]func(*world) outcome{"restore": restore, "twice": twice, "gone": gone}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/fakes/rig3/model.go
+++ b/review/fakes/rig3/model.go
@@ -103,13 +103,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, run := range e.runs {
-		if run.request == in.ID && run.ended.IsZero() && in.Last {
-			run.once.Do(func() { close(run.stop) })
-			e.rec.add("engine %s is told to end %s", e.id, in.ID)
-			_, _ = io.WriteString(c,
-				answerText(`{"kvHandle":"h-1","created":1}`))
+		if run.request != in.ID || !run.ended.IsZero() {
+			continue
+		}
+		if !in.Last {
+			// No engine here has room for copies.
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 			return
 		}
+		run.once.Do(func() { close(run.stop) })
+		e.rec.add("engine %s is told to end %s", e.id, in.ID)
+		_, _ = io.WriteString(c, answerText(`{"kvHandle":"h-1","created":1}`))
+		return
 	}
 	_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 }
@@ -159,6 +164,12 @@
 	_, _ = io.WriteString(c, "0\r\n\r\n")
 }
 
+func (e *modelEngine) hasRuns() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.runs) > 0
+}
+
 // overlap returns how long two engines worked on a request after the later one had begun.
 func overlap(engines []*modelEngine, id string) (time.Duration, string) {
 	var all []*modelRun
--- a/review/fakes/rig3/twice.go
+++ b/review/fakes/rig3/twice.go
@@ -41,10 +41,7 @@
 		// The engine that has the run accepts no more channels from its eighth event on, for three seconds.
 		time.Sleep(1400 * time.Millisecond)
 		for _, e := range engines {
-			e.mu.Lock()
-			has := len(e.runs) > 0
-			e.mu.Unlock()
-			if has {
+			if e.hasRuns() {
 				e.isFull.Store(true)
 				w.rec.add("engine %s accepts no more channels", e.id)
 				time.Sleep(3 * time.Second)
