test(review): case 15, a stream that looks complete after its engine's crash

Cause: the end of a connection between two events is taken for the end of an answer without a length. Change: an engine as a process, killed in the middle of its answers.

--- a/review/fakes/rig3/engine.go
+++ b/review/fakes/rig3/engine.go
@@ -107,6 +107,8 @@
 	body   string
 	err    error
 	took   time.Duration
+	// instance is the engine that the answer names.
+	instance string
 }
 
 func (r reply) String() string {
@@ -132,7 +134,7 @@
 		return reply{err: err, took: time.Since(began)}
 	}
 	text, err := io.ReadAll(resp.Body)
-	return reply{resp.StatusCode, string(text), err, time.Since(began)}
+	return reply{resp.StatusCode, string(text), err, time.Since(began), resp.Header.Get("Instance-Id")}
 }
 
 func head(method, path, id, key string, deadline time.Duration, extra []string, length int) []byte {
--- a/review/fakes/rig3/main.go
+++ b/review/fakes/rig3/main.go
@@ -28,9 +28,13 @@
 	hosts     []*host
 }
 
-var cases = map[string]func(*world) outcome{"restore": restore, "twice": twice, "gone": gone}
+var cases = map[string]func(*world) outcome{"restore": restore, "twice": twice, "gone": gone, "crash": crash}
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "engine" {
+		serveEngine(os.Args[2], os.Args[3])
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review3 CASE RECORD")
 		os.Exit(int(unable))
