test(review): case 14, a stream that goes on beside its leaving engine

Cause: a host that migrates a stream closes its end of the connection and takes the end of the other side as proof that the run has ended. An engine that closes its side as its caller does, and goes on with the run, works on the request beside the engine of the standby copy.

Change: review/14 with a stand-in of such an engine.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review3 ] && [ -x target/tarragonspur ] || { echo "build with the deploy file and review/build-3.sh first" >&2; exit 2; }
-exec target/review3 twice "$here/record.txt"
+exec target/review3 leave "$here/record.txt"
--- a/review/fakes/rig3/main.go
+++ b/review/fakes/rig3/main.go
@@ -28,7 +28,7 @@
 	hosts     []*host
 }
 
-var cases = map[string]func(*world) outcome{"restore": restore, "twice": twice, "gone": gone, "crash": crash}
+var cases = map[string]func(*world) outcome{"restore": restore, "twice": twice, "leave": leave, "crash": crash}
 
 func main() {
 	if len(os.Args) == 4 && os.Args[1] == "engine" {
--- a/review/fakes/rig3/model.go
+++ b/review/fakes/rig3/model.go
@@ -28,6 +28,8 @@
 	spoilAt atomic.Int32
 	// onSpoil is called as it does.
 	onSpoil func()
+	// backups holds standby copies; nil if the engine makes none. An engine that makes them closes a channel once its caller has.
+	backups *backups
 
 	mu   sync.Mutex
 	runs []*modelRun
@@ -86,7 +88,7 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	case r.Header.Get("Expected-Instance") != "" && r.Header.Get("Expected-Instance") != e.id:
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", e.id)
-	case r.Header.Get("Kv-From") != "":
+	case r.Header.Get("Kv-From") != "" && (e.backups == nil || !e.backups.take(r.Header.Get("Kv-From"))):
 		// The engine has no copy.
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nAttempt-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Attempt-Id"))
 	default:
@@ -131,6 +133,13 @@
 	e.runs = append(e.runs, run)
 	e.mu.Unlock()
 	e.rec.add("engine %s begins to work on %s, last event %q", e.id, id, run.lastEvent)
+	if e.backups != nil {
+		if to := r.Header.Get("Kv-Backup"); to != "" {
+			e.backups.add(to, id)
+			e.rec.add("engine %s keeps a standby copy of %s at %s", e.id, id, to)
+		}
+		go e.closeAtEnd(c, id)
+	}
 	defer func() {
 		e.mu.Lock()
 		run.ended = time.Now()
