test(review): case 15 with channels of other callers

Cause: the engine of the case reset new channels without having as many as it accepts.

Change: other callers open 301 of its 302 channels for 3 s, and the engine resets those beyond that, as PROTOCOL.md says.

--- a/review/fakes/rig3/engine.go
+++ b/review/fakes/rig3/engine.go
@@ -178,7 +178,7 @@
 		"services": []any{
 			map[string]any{"name": "plain", "healthPath": "/healthz", "maxConnections": 100, "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0},
 			map[string]any{
-				"name": "model", "healthPath": "/healthz", "maxConnections": 302, "protocol": "h1", "tls": false, "coldStartS": 1.0, "coldPerS": 39.0,
+				"name": "model", "healthPath": "/healthz", "maxConnections": maxChannels, "protocol": "h1", "tls": false, "coldStartS": 1.0, "coldPerS": 39.0,
 				"engine": map[string]any{
 					"slots": 32, "kvCapacityTokens": 34297, "kvTokenBytes": 262144, "linkCapacityMbps": 38000.0, "moves": true, "backups": true,
 					"stride": 4, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleTtlS": 5.0, "models": []any{map[string]any{"name": "m"}},
--- a/review/fakes/rig3/model.go
+++ b/review/fakes/rig3/model.go
@@ -14,6 +14,9 @@
 	"time"
 )
 
+// maxChannels is maxConnections of the service.
+const maxChannels = 302
+
 // modelEngine stands in for a model engine whose runs go on when their channel closes, as those of some engines do.
 type modelEngine struct {
 	id, zone string
@@ -22,8 +25,8 @@
 	listener net.Listener
 	rec      *record
 	store    *store
-	// isFull is set while the engine resets new channels, because it has as many as it accepts.
-	isFull atomic.Bool
+	// channels counts the open ones; the engine resets those beyond maxChannels.
+	channels atomic.Int32
 	// spoilAt is the event of a run's first answer in whose place the engine hands out wrong bytes; 0 for none.
 	spoilAt atomic.Int32
 	// onSpoil is called as it does.
@@ -56,8 +59,9 @@
 			if err != nil {
 				return
 			}
-			if e.isFull.Load() {
+			if e.channels.Add(1) > maxChannels {
 				rec.add("engine %s resets a new channel: it has as many as it accepts", id)
+				e.channels.Add(-1)
 				reset(c)
 				continue
 			}
@@ -72,6 +76,7 @@
 }
 
 func (e *modelEngine) serve(c net.Conn) {
+	defer e.channels.Add(-1)
 	defer func() { _ = c.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
--- a/review/fakes/rig3/twice.go
+++ b/review/fakes/rig3/twice.go
@@ -2,13 +2,35 @@
 
 import (
 	"fmt"
+	"net"
 	"time"
 )
 
 // maxOverlap is the time for which a request may be at work at two engines.
 const maxOverlap = 400 * time.Millisecond
 
-// twice spoils the answer of an engine that accepts no more channels, and goes on with the run.
+// occupy takes, as other callers of the engine, all channels that it still accepts, and gives them back after a time.
+func (e *modelEngine) occupy(d time.Duration) {
+	var taken []net.Conn
+	defer func() {
+		for _, c := range taken {
+			_ = c.Close()
+		}
+		e.rec.add("other callers have given the channels to engine %s back", e.id)
+	}()
+	for range maxChannels - e.channels.Load() {
+		c, err := net.Dial("tcp", e.listener.Addr().String())
+		if err != nil {
+			e.rec.add("error: %v", err)
+			return
+		}
+		taken = append(taken, c)
+	}
+	e.rec.add("other callers have %d channels to engine %s, which has %d and accepts no more", len(taken), e.id, maxChannels)
+	time.Sleep(d)
+}
+
+// twice spoils the answer of an engine that has all the channels that it accepts, and goes on with the run.
 func twice(w *world) outcome {
 	if err := w.begin(2, 0); err != nil {
 		return w.unable(err)
@@ -38,15 +60,11 @@
 		}
 	}
 	go func() {
-		// The engine that has the run accepts no more channels from its eighth event on, for three seconds.
+		// The engine that has the run has all the channels that it accepts from its eighth event on, for three seconds.
 		time.Sleep(1400 * time.Millisecond)
 		for _, e := range engines {
 			if e.hasRuns() {
-				e.isFull.Store(true)
-				w.rec.add("engine %s accepts no more channels", e.id)
-				time.Sleep(3 * time.Second)
-				e.isFull.Store(false)
-				w.rec.add("engine %s accepts channels again", e.id)
+				e.occupy(3 * time.Second)
 				return
 			}
 		}
