fix(settle): a host that knows less than the others takes no copy for the newest table

A host took the first table that it read for confirmed, and so did one that was paused or cut off since before the key was withdrawn. Nothing in an answer tells a copy from the newest state.

Change: the table of an era of the store counts at a host once internal/settle has found that it is the newest one: written in this era, counted at another host, marked in the store, or known until shortly before the return. At a new era hosts ask up to eight others for the table that they have in force, take over a newer one with its age, and confirm no older one. A host without a table takes none from an era that does not count, so that routes and regions that were taken away stay so too. A store that names no era is not touched by this.

Why it works: what any reachable host has learned bounds what every other one accepts, and where nobody can know more, a host waits for the operator's write, five seconds at most.

--- a/internal/gossip/reader.go
+++ b/internal/gossip/reader.go
@@ -83,6 +83,26 @@
 	return best
 }
 
+// OtherHosts returns at most n other hosts in random order, but those seen lately first.
+func (g *Gossip) OtherHosts(n int) []mirror.Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var recent, silent []mirror.Host
+	for _, p := range g.peers {
+		h := mirror.Host{Name: p.name, Address: p.address}
+		if time.Since(p.lastSeen) < unresponsiveAfter {
+			recent = append(recent, h)
+		} else {
+			silent = append(silent, h)
+		}
+	}
+	for _, hosts := range [][]mirror.Host{recent, silent} {
+		rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	}
+	all := slices.Concat(recent, silent)
+	return all[:min(n, len(all))]
+}
+
 // HostsNear returns at most n live hosts in random order, but those of a failure domain first, then those of its region.
 func (g *Gossip) HostsNear(domain, region string, n int) []mirror.Host {
 	g.mu.Lock()
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -137,6 +137,8 @@
 	// Keys maps each API key to its workspace; nil means that no route requires a key.
 	Keys   map[string]*Workspace
 	Limits Limits
+	// Document is the table as the store holds it, for other hosts; nil if the store names no era.
+	Document []byte
 
 	byHost map[string][]*Route
 }
--- a/internal/site/build.go
+++ b/internal/site/build.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/dig"
+	"google.golang.org/grpc"
 
 	"github.com/tarragonspur/tarragonspur/internal/assist"
 	"github.com/tarragonspur/tarragonspur/internal/budget"
@@ -28,6 +29,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/queue"
 	"github.com/tarragonspur/tarragonspur/internal/recall"
+	"github.com/tarragonspur/tarragonspur/internal/settle"
 	"github.com/tarragonspur/tarragonspur/internal/stall"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 	"github.com/tarragonspur/tarragonspur/internal/watch"
@@ -94,6 +96,7 @@
 	newMirror,
 	newMirrorServer,
 	newHolder,
+	newSettler,
 	newPool,
 	newHealth,
 	newSyncStatus,
@@ -157,12 +160,16 @@
 	return m
 }
 
-func newMirrorServer(s config.Settings, m *mirror.Mirror, a *assist.Server, meter *metric.Intake, log *slog.Logger) *mirror.Server {
+func newMirrorServer(s config.Settings, m *mirror.Mirror, a *assist.Server, t *settle.Settler, meter *metric.Intake, log *slog.Logger) *mirror.Server {
 	wrap := func(l net.Listener) (*intake.Calls, error) {
 		listener, err := intake.New(l, "peers", intake.NewLimits(s).Part(peersPart), meter, log)
 		return intake.NewCalls(listener, time.Duration(s.Limits.HeaderRead)), err
 	}
-	return &mirror.Server{Mirror: m, Address: s.Peers, Register: a.Register, Wrap: wrap}
+	register := func(to grpc.ServiceRegistrar) {
+		a.Register(to)
+		(&settle.Server{Settler: t}).Register(to)
+	}
+	return &mirror.Server{Mirror: m, Address: s.Peers, Register: register, Wrap: wrap}
 }
 
 func newEngines(p *pool.Pool, n *notice.Table) platform.Engines {
@@ -175,6 +182,13 @@
 
 func newHolder() *policy.Holder { return &policy.Holder{} }
 
+func newSettler(s config.Settings, st *platform.Store, h *policy.Holder, g *gossip.Gossip, log *slog.Logger) *settle.Settler {
+	return &settle.Settler{
+		Holder: h, Hosts: g, Marks: platform.Marks{Store: st}, MaxGap: keyAge(s), Decode: platform.DecodeTable, Log: log,
+		IsReader: func() bool { return g.IsReading() && !hasReader(g)() },
+	}
+}
+
 func newPool(s config.Settings) *pool.Pool {
 	return &pool.Pool{Domain: s.Domain, Region: s.Region, EvenLoad: s.Platform.EvenLoad}
 }
@@ -333,9 +347,9 @@
 	m.MaxPause = min(maxStorePause, applyPart(s, storePausePart))
 }
 
-func newTables(s config.Settings, m *mirror.Mirror, h *policy.Holder, health *watch.Health, g *gossip.Gossip, log *slog.Logger) *watch.Follower[*policy.Table] {
+func newTables(s config.Settings, m *mirror.Mirror, h *policy.Holder, t *settle.Settler, health *watch.Health, g *gossip.Gossip, log *slog.Logger) *watch.Follower[*policy.Table] {
 	return &watch.Follower[*policy.Table]{
-		Kind: "table", Source: platform.Tables{Store: m, Log: log}, Sink: &watch.Tables{Holder: h, Log: log},
+		Kind: "table", Source: platform.Tables{Store: m, Log: log}, Sink: &watch.Tables{Holder: h, Settler: t, Log: log},
 		Wait: tableWaitFor(s), Slack: applyPart(s, tableSlackPart), BatchDelay: batchDelay / 2, Health: health, HasReader: hasReader(g), Log: log,
 	}
 }
@@ -356,8 +370,8 @@
 }
 
 // newControllers lists the host's controllers.
-func newControllers(t *watch.Follower[*policy.Table], s *watch.Follower[pool.Server], e *watch.Follower[watch.Evacuation], g *gossip.Gossip, m *mirror.Server, k *recall.Keeper, f *front.Readers, r rolloutControllers) []Controller {
-	return append([]Controller{t, s, e, g, m, k, f}, r...)
+func newControllers(t *watch.Follower[*policy.Table], s *watch.Follower[pool.Server], e *watch.Follower[watch.Evacuation], g *gossip.Gossip, m *mirror.Server, k *recall.Keeper, f *front.Readers, c *settle.Settler, r rolloutControllers) []Controller {
+	return append([]Controller{t, s, e, g, m, k, f, c}, r...)
 }
 
 // listeners are the open listeners of a host.
--- a/internal/site/intime_test.go
+++ b/internal/site/intime_test.go
@@ -147,6 +147,17 @@
 func (r rigReaders) Hosts() int              { return r.hosts }
 func (rigReaders) LostReader(string)         {}
 
+// hasPeer reports whether another host reads the store for this one.
+func hasPeer(r rigReaders) bool { _, ok := r.Reader(); return ok }
+
+// OtherHosts implements settle.Hosts: the hosts of the rig know each other only as readers.
+func (r rigReaders) OtherHosts(int) []mirror.Host {
+	if reader, ok := r.Reader(); ok {
+		return []mirror.Host{reader}
+	}
+	return nil
+}
+
 // follow runs a host's followers and returns its table and its backend servers.
 func (r *tableRig) follow(t *testing.T, m *mirror.Mirror, readers rigReaders, health *watch.Health) (*policy.Holder, *pool.Pool) {
 	t.Helper()
@@ -156,12 +167,14 @@
 	g.IsReading = func() bool { return m.IsReading(platform.KindTables) && !health.IsUnreachable() }
 	holder, p := &policy.Holder{}, &pool.Pool{}
 	ctx, cancel := context.WithCancel(context.Background())
-	tables := newTables(r.settings, m, holder, health, g, log)
+	settler := newSettler(r.settings, m.Store.(*platform.Store), holder, g, log) //nolint:forcetypeassert // the rig's mirrors read the platform's store
+	settler.IsReader, settler.Hosts = func() bool { return !hasPeer(readers) }, readers
+	tables := newTables(r.settings, m, holder, settler, health, g, log)
 	servers := newServers(r.settings, m, p, health, &watch.SyncStatus{}, g, log)
 	domains := newEvacuations(m, p, health, g, log)
-	tables.HasReader = func() bool { _, ok := readers.Reader(); return ok }
+	tables.HasReader = func() bool { return hasPeer(readers) }
 	servers.HasReader, domains.HasReader = tables.HasReader, tables.HasReader
-	loops := []func(context.Context) error{tables.Run, servers.Run, domains.Run}
+	loops := []func(context.Context) error{tables.Run, servers.Run, domains.Run, settler.Run}
 	ended := make(chan error, len(loops))
 	for _, run := range loops {
 		go func() { ended <- run(ctx) }()
--- a/internal/watch/sinks.go
+++ b/internal/watch/sinks.go
@@ -7,48 +7,77 @@
 	"github.com/tarragonspur/tarragonspur/internal/canary"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/settle"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
+// Settler decides whether the store's table counts: the store may have come back from a copy that lacks the newest one.
+type Settler interface {
+	Read(r settle.Reading) bool
+}
+
 // Tables puts the newest table in force.
 type Tables struct {
 	Holder *policy.Holder
-	Log    *slog.Logger
+	// Settler decides whether the table of an era counts; nil means that it does unless it is older than the one in force.
+	Settler Settler
+	Log     *slog.Logger
 
-	era int64
-	// isBehind is set while the store, which has come back from a copy, holds an older table than the one in force.
+	// stored is the table that the store holds; nil if it holds none.
+	stored *policy.Table
+	// isBehind is set while the store holds an older table than the one in force.
 	isBehind bool
 }
 
 // Replace applies the table of a full list.
 func (t *Tables) Replace(b Batch[*policy.Table], confirmed time.Duration) {
-	if t.era != 0 && b.At.Era > t.era {
-		t.isBehind = true
-	}
-	t.era = b.At.Era
-	t.Apply(b, confirmed)
+	t.stored = nil
+	t.take(b, confirmed, false)
 }
 
-// Apply puts the newest table of a batch in force. A store that holds an older one than that does not confirm it: the operator may have
-// withdrawn keys since, and writes again.
-func (t *Tables) Apply(b Batch[*policy.Table], confirmed time.Duration) {
+// Apply applies a table that has been written, or confirms the one in force.
+func (t *Tables) Apply(b Batch[*policy.Table], confirmed time.Duration) { t.take(b, confirmed, true) }
+
+// take puts the newest table of a batch in force, and confirms the one in force if the store holds it. A store that holds an older one
+// does not confirm it: the operator may have withdrawn keys since, and writes again. Until the table of an era counts, a host without a
+// table takes none, and one that has a table takes a newer one without confirming it.
+func (t *Tables) take(b Batch[*policy.Table], confirmed time.Duration, isChange bool) {
 	for _, table := range b.Changed {
-		if t.Holder.PutIfNewer(table) {
-			t.Log.Info("table in force", "version", table.Version, "revision", b.At, "age", ticks.Now()-confirmed)
-		}
-		inForce, _ := t.Holder.View()
-		switch wasBehind := t.isBehind; {
-		case table.Version >= inForce.Version:
-			t.isBehind = false
-		case wasBehind:
-			t.Log.Warn("store holds an older table than the one in force", "version", table.Version, "in_force", inForce.Version, "revision", b.At)
-		}
+		t.stored = table
+	}
+	counts := t.counts(b, isChange)
+	inForce, _ := t.Holder.View()
+	if t.stored != nil && (counts || inForce != nil) && t.Holder.PutIfNewer(t.stored) {
+		t.Log.Info("table in force", "version", t.stored.Version, "revision", b.At, "age", ticks.Now()-confirmed)
 	}
-	if !t.isBehind {
+	t.checkBehind(b)
+	if counts && !t.isBehind {
 		t.Holder.Confirm(confirmed)
 	}
 }
 
+// counts reports whether the store's table counts.
+func (t *Tables) counts(b Batch[*policy.Table], isChange bool) bool {
+	if t.Settler == nil {
+		return true
+	}
+	r := settle.Reading{Era: b.At.Era, IsWritten: isChange && len(b.Changed) > 0}
+	if t.stored != nil {
+		r.Version = t.stored.Version
+	}
+	return t.Settler.Read(r)
+}
+
+// checkBehind compares the store's table with the one in force. A store that names no era never holds an older one.
+func (t *Tables) checkBehind(b Batch[*policy.Table]) {
+	wasBehind := t.isBehind
+	inForce, _ := t.Holder.View()
+	t.isBehind = b.At.Era > 0 && inForce != nil && (t.stored == nil || t.stored.Version < inForce.Version)
+	if t.isBehind && !wasBehind {
+		t.Log.Warn("store holds an older table than the one in force", "stored", t.stored != nil, "in_force", inForce.Version, "revision", b.At)
+	}
+}
+
 // Servers keeps the pool of backend servers up to date.
 type Servers struct {
 	Pool   *pool.Pool
