fix(front): the end of a connection does not show that a run has ended

A host that migrates a stream ended its side of the connection and took the end of the server's side for the end of the run. Servers may close their end as their caller does and go on.

Change: the source is asked to end the run before the request goes on elsewhere. The connection for that call is opened before the run's own is given up; a source that takes none keeps its stream, and the migration is tried again. A copy that is refused although it was made as the run ended is followed by the standby copy at the same server.

Why it works: the answer to the call that ends a run is the only sign that says whether it works on, and a run is not given up before that can be asked for.

The paths of the tests break all their connections at the same moment, and reset new ones at once: the call may have a connection of its own now.

--- a/internal/cause/outcomes.go
+++ b/internal/cause/outcomes.go
@@ -54,7 +54,7 @@
 		return fmt.Sprintf("the host was stopped %.1f s before, and the stream lasted beyond the grace period: %s", end.At.Sub(l.At).Seconds(), end.Fields["error"])
 	}
 	broke, ok := q.lastLine("stream broke")
-	if ended, moved := q.lastLine("run has ended"); moved && (!ok || broke.At.Before(ended.At)) {
+	if ended, moved := q.lastLine("backend server closed the connection on request"); moved && (!ok || broke.At.Before(ended.At)) {
 		return fmt.Sprintf("backend server %s, which leaves, ended the run after event %s; %s", ended.Fields["server"], ended.Fields["last_event"], q.whyNotMoved(ended))
 	}
 	if !ok {
--- a/internal/fakes/plat/server.go
+++ b/internal/fakes/plat/server.go
@@ -75,6 +75,8 @@
 	BackupDelay time.Duration
 	// IgnoresEnds makes the server go on with a stream whose caller has closed its connection.
 	IgnoresEnds bool
+	// ClosesEnds makes the server close its end of a stream's connection once its caller has, and go on with the stream.
+	ClosesEnds bool
 	// Public is the address that others reach the server at, such as a proxy's; the zero value stands for Address.
 	Public netip.AddrPort
 
@@ -352,7 +354,10 @@
 	closed := make(chan struct{})
 	go func() {
 		_, _ = br.ReadByte()
-		if !s.IgnoresEnds {
+		switch {
+		case s.ClosesEnds:
+			_ = conn.Close()
+		case !s.IgnoresEnds:
 			_, delay := s.pace()
 			time.Sleep(delay)
 			close(closed)
--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -67,17 +67,42 @@
 	claim *pool.Lease
 }
 
-// endRun asks a backend server once to end the run and to copy it to another one. One that takes no more requests now gets a connection
-// attempt instead, which shows whether it is there.
-func (q *request) endRun(ctx context.Context, server, to pool.Server) moved {
+// unendedRun is a backend server that may still work on a request.
+type unendedRun struct {
+	pool.Server
+
+	// control is an open connection to it, nil if there is none.
+	control *send.Conn
+}
+
+// closeControl closes the connection if it has not been used.
+func (u *unendedRun) closeControl() {
+	if u.control != nil {
+		u.control.Close()
+		u.control = nil
+	}
+}
+
+// endRun asks a backend server once to end the run and to copy it to another one, over a new connection if control is nil. One that takes
+// no more requests now gets a connection attempt instead, which shows whether it is there.
+func (q *request) endRun(ctx context.Context, server, to pool.Server, control *send.Conn) moved {
 	if q.Pool.WaitToResume(server.ID) > 0 {
+		if control != nil {
+			control.Close()
+		}
 		return moved{ending: connectionEnding(ctx, server)}
 	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	q.Pool.Sent(server.ID)
 	began := time.Now()
-	made, err := q.Copies.Move(ctx, server.Address, q.ID, to.Address)
+	var made Copy
+	var err error
+	if control != nil {
+		made, err = q.Copies.MoveOver(ctx, control, server.Address, q.ID, to.Address)
+	} else {
+		made, err = q.Copies.Move(ctx, server.Address, q.ID, to.Address)
+	}
 	m := moved{ending: endingOf(err), copy: made, at: to.ID}
 	q.log.Info("run asked to end", "server", server.ID, "to", to.ID, "ending", m.ending.String(), "took", time.Since(began), "error", err)
 	return m
@@ -131,9 +156,10 @@
 	}
 }
 
-// addUnended records that a backend server may work on the request although its connection is closed.
-func (q *request) addUnended(server pool.Server) {
-	q.unended = append(q.unended, server)
+// addUnended records that a backend server may work on the request although its connection is closed. An open connection to it is used to
+// ask it to end the run; may be nil.
+func (q *request) addUnended(server pool.Server, control *send.Conn) {
+	q.unended = append(q.unended, unendedRun{server, control})
 	if !slices.Contains(q.tried, server.ID) {
 		q.tried = append(q.tried, server.ID)
 	}
@@ -143,15 +169,18 @@
 // that was made thereby, if any, or errAtWork. A backend server that can't be reached is left after maxEndWait; the run is ended in the
 // background then.
 func (q *request) awaitEnds(ctx context.Context, next pool.Server) (Copy, error) {
-	servers := q.unended
+	unended := q.unended
 	q.unended = nil
 	if q.service.Engine == nil || !q.service.Engine.SupportsMigration {
+		for i := range unended {
+			unended[i].closeControl()
+		}
 		return Copy{}, nil
 	}
 	var made Copy
-	for i, server := range servers {
-		began := time.Now()
-		m := q.endWithin(ctx, maxEndWait, server, q.copyTarget(server, next), q.Others != nil)
+	for i := range unended {
+		server, began := unended[i].Server, time.Now()
+		m := q.endWithin(ctx, maxEndWait, &unended[i], q.copyTarget(server, next), q.Others != nil)
 		q.log.Info("end of the run awaited", "server", server.ID, "ending", m.ending.String(), "waited", time.Since(began))
 		if m.isByOther {
 			// A host that was late with its answer may ask once more.
@@ -159,7 +188,7 @@
 		}
 		switch {
 		case m.ending == endRefused:
-			q.unended = servers[i:]
+			q.unended = unended[i:]
 			return Copy{}, errors.Wrapf(errAtWork, "backend server %s", server.ID)
 		case m.ending == endUnknown:
 			q.unreached = append(q.unreached, server.ID)
@@ -187,13 +216,15 @@
 
 // endWithin asks a backend server to end the run until it certainly has, or for a time. It returns the last answer. If the backend server
 // isn't reached, other hosts are asked once if asksOthers is set.
-func (q *request) endWithin(ctx context.Context, limit time.Duration, server, to pool.Server, asksOthers bool) moved {
+func (q *request) endWithin(ctx context.Context, limit time.Duration, at *unendedRun, to pool.Server, asksOthers bool) moved {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	server := at.Server
 	var last moved
 	for {
 		began := time.Now()
-		m := q.endRun(ctx, server, to)
+		m := q.endRun(ctx, server, to, at.control)
+		at.control = nil
 		if m.ending == endUnknown && asksOthers {
 			asksOthers = false
 			m = q.endThroughOthers(ctx, server, to)
@@ -225,7 +256,7 @@
 	go func() {
 		defer q.active.Done()
 		for began := time.Now(); time.Since(began) < maxStopTime && q.stop.Load() == nil; {
-			m := q.endWithin(context.Background(), unreachedInterval+refusedInterval, server, to, false)
+			m := q.endWithin(context.Background(), unreachedInterval+refusedInterval, &unendedRun{Server: server}, to, false)
 			if m.ending.isProof() {
 				q.freeUnused(m)
 				return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -125,7 +125,7 @@
 	triedVersions []string
 	begunVersion  *string
 	// unended are the backend servers that may still work on the request although the host has closed its connection to them.
-	unended []pool.Server
+	unended []unendedRun
 	// unreached are those at which the run is ended in the background; they get the request no more, since that would end it too.
 	unreached []string
 	log       *slog.Logger
--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -9,12 +9,17 @@
 
 	"github.com/tarragonspur/tarragonspur/internal/pool"
 	"github.com/tarragonspur/tarragonspur/internal/send"
+	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
 const (
 	// endTimeout bounds the time between the end of the host's side of a connection and the end of the backend server's. Between
 	// regions it takes 40 ms, and a lost packet takes another 200 ms.
 	endTimeout = 250 * time.Millisecond
+	// resetMargin is the time that a backend server has to reset a connection beyond the round trip.
+	resetMargin = 10 * time.Millisecond
+	// moveRetryDelay is the pause before the next migration of a run whose source takes no connections.
+	moveRetryDelay = 250 * time.Millisecond
 	// maxHandoverTime bounds the time from the choice of the copy's backend server, which may leave meanwhile, to the end of the run.
 	maxHandoverTime = time.Second
 	// standbyTime is the age of a run from which its standby copy is assumed to be complete: the run ends before the copy is used, so that
@@ -31,6 +36,9 @@
 	*claimedCopy
 
 	conn *send.Conn
+	// control is a connection to the source, on which it is asked to end the run; nil once used. It is opened before the host ends its side
+	// of the run's connection: a source that can't be asked any more may work on, and its events would be lost.
+	control *send.Conn
 	// isEndDue fires when the source should have ended.
 	isEndDue *time.Timer
 	// endRequestedAt is when the host ended its side of the connection to the source.
@@ -43,6 +51,8 @@
 type connectResult struct {
 	handover *handover
 	err      error
+	// controlErr is why there is no connection to the source.
+	controlErr error
 }
 
 // checkServer migrates the run if its backend server is leaving, drops a copy whose backend server is leaving, and keeps a
@@ -68,7 +78,7 @@
 // migrate starts the live migration of the run while the leaving backend server still works: a connection to the copy's backend
 // server is opened first, so that the caller sees a short pause only.
 func (s *session) migrate(server string) {
-	if s.handover != nil || s.isConnecting || s.isCopying || s.cancelEnding != nil || s.resumes >= maxResumes {
+	if s.handover != nil || s.isConnecting || s.isCopying || s.cancelEnding != nil || s.resumes >= maxResumes || time.Now().Before(s.nextMoveAt) {
 		return
 	}
 	if s.leavingSince.IsZero() {
@@ -109,10 +119,46 @@
 		return
 	}
 	s.isConnecting = true
+	source := s.current.lease.Server
+	go func() { s.connectResults <- s.connect(claimed, source) }()
+}
+
+// connect connects to the backend server of a copy and to the run's own.
+func (s *session) connect(claimed *claimedCopy, source pool.Server) connectResult {
+	c := connectResult{handover: &handover{claimedCopy: claimed}}
+	control := make(chan struct{})
 	go func() {
-		conn, err := send.Connect(s.ctx, claimed.lease.Server.Address)
-		s.connectResults <- connectResult{handover: &handover{claimedCopy: claimed, conn: conn}, err: err}
+		defer close(control)
+		began := time.Now()
+		c.handover.control, c.controlErr = s.Copies.Connect(s.ctx, source.Address)
+		if c.controlErr == nil {
+			// A server that has too many connections resets this one a round trip later, while the stream goes on.
+			ticks.Sleep(s.ctx, time.Since(began)+resetMargin)
+		}
 	}()
+	c.handover.conn, c.err = send.Connect(s.ctx, claimed.lease.Server.Address)
+	<-control
+	if c.err != nil {
+		c.handover.closeControl()
+	}
+	return c
+}
+
+// closeControl closes the connection to the source if it has not been used.
+func (h *handover) closeControl() {
+	if control := h.takeControl(); control != nil {
+		control.Close()
+	}
+}
+
+// takeControl returns the connection to the source, nil if there is none or it has been used.
+func (h *handover) takeControl() *send.Conn {
+	if h == nil {
+		return nil
+	}
+	control := h.control
+	h.control = nil
+	return control
 }
 
 // handleConnected ends the run at its source, or logs why it can't go on elsewhere.
@@ -127,12 +173,35 @@
 		h.isEndDue.Reset(0)
 		return
 	}
+	if h.control == nil || !h.control.IsOpen() {
+		s.putOff(c.controlErr)
+		return
+	}
 	if err := s.current.answer.EndRequest(); err != nil {
 		s.log.Info("request not ended over its connection", "server", s.current.lease.Server.ID, "error", err)
 		h.isEndDue.Reset(0)
 	}
 }
 
+// putOff ends a migration whose source takes no more connections, and keeps the run there: it could not be asked whether the run has ended.
+func (s *session) putOff(cause error) {
+	h := s.handover
+	s.handover = nil
+	h.conn.Close()
+	h.closeControl()
+	h.lease.Release()
+	s.resumes--
+	s.nextMoveAt = time.Now().Add(moveRetryDelay)
+	s.log.Info("migration put off", "reason", "the backend server can't be asked to end the run", "server", s.current.lease.Server.ID, "last_event", s.lastNumber, "error", cause)
+	claim, err := s.Pool.Claim(h.lease.Server.ID, s.expectedTokens(), time.Now())
+	if err != nil {
+		s.discardOnDemand(h.standby)
+		return
+	}
+	h.standby.claim = claim
+	s.current.standby = h.standby
+}
+
 // keepConnected stores the connection to a copy's backend server, or logs why there is none.
 func (s *session) keepConnected(c connectResult) bool {
 	s.isConnecting = false
@@ -168,7 +237,8 @@
 	s.current.isAsked.Store(true)
 	source := s.current.lease.Server
 	to := s.copyTarget(source, s.handover.lease.Server)
-	go func() { s.endResults <- s.endRun(ctx, source, to) }()
+	control := s.handover.takeControl()
+	go func() { s.endResults <- s.endRun(ctx, source, to, control) }()
 }
 
 // stopAsking cancels the call that ends the run, if one is in progress, and returns its result.
@@ -228,12 +298,14 @@
 	}
 	s.handover = nil
 	h.conn.Close()
+	h.closeControl()
 	h.lease.Release()
 	s.discardOnDemand(h.standby)
 }
 
-// hasEndedOnRequest reports whether an error of the current upstream shows that its backend server has ended the run on request.
-func (s *session) hasEndedOnRequest(err error) bool {
+// isClosedOnRequest reports whether an error of the current upstream shows that its backend server has closed its end of the connection as
+// this host has closed its own. Whether the run has ended is open: servers may work on.
+func (s *session) isClosedOnRequest(err error) bool {
 	return s.handover != nil && !s.current.isUnframed && errors.Is(err, io.ErrUnexpectedEOF)
 }
 
--- a/internal/front/order_test.go
+++ b/internal/front/order_test.go
@@ -64,7 +64,8 @@
 			return
 		}
 		if err != nil || p.isCut.Load() {
-			reset.apply(near)
+			_ = near.SetLinger(0)
+			_ = near.Close()
 			continue
 		}
 		p.mu.Lock()
@@ -94,12 +95,15 @@
 	}
 }
 
-// breakConnections resets the connections at the host's end only.
+// breakConnections resets the connections at the host's end only, all at the same moment.
 func (p *path) breakConnections() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// The host reads what was sent before the resets discard it.
+	time.Sleep(100 * time.Millisecond)
 	for _, c := range p.conns {
-		reset.apply(c)
+		_ = c.SetLinger(0)
+		_ = c.Close()
 	}
 	p.conns = nil
 }
@@ -193,21 +197,25 @@
 		name, path string
 		// ignoresEnds is set if the backend server does not notice the end of its connections.
 		ignoresEnds bool
-		leave       func(r *rig, source *plat.Server, p *path)
+		// closesEnds is set if the backend server closes its end of a connection as the host does, and works on.
+		closesEnds bool
+		leave      func(r *rig, source *plat.Server, p *path)
 	}{
-		{"its server leaves", "/report/x", false, func(r *rig, source *plat.Server, p *path) { r.putAt(r.index(source), p.address(), true) }},
-		{"its server leaves and does not notice the end of the connection", "/report/x", true, func(r *rig, source *plat.Server, p *path) { r.putAt(r.index(source), p.address(), true) }},
-		{"its connection breaks at the host only", "/report/x", true, func(_ *rig, _ *plat.Server, p *path) { p.breakConnections() }},
-		{"its connection breaks at the host only, where any server may resume", "/note/x", true, func(_ *rig, _ *plat.Server, p *path) { p.breakConnections() }},
-		{"only another host reaches its server", "/report/x", true, func(_ *rig, _ *plat.Server, p *path) { p.cut() }},
-		{"only another host reaches its server, where any server may resume", "/note/x", true, func(_ *rig, _ *plat.Server, p *path) { p.cut() }},
+		{"its server leaves", "/report/x", false, false, func(r *rig, source *plat.Server, p *path) { r.putAt(r.index(source), p.address(), true) }},
+		{"its server leaves and does not notice the end of the connection", "/report/x", true, false, func(r *rig, source *plat.Server, p *path) { r.putAt(r.index(source), p.address(), true) }},
+		{"its connection breaks at the host only", "/report/x", true, false, func(_ *rig, _ *plat.Server, p *path) { p.breakConnections() }},
+		{"its connection breaks at the host only, where any server may resume", "/note/x", true, false, func(_ *rig, _ *plat.Server, p *path) { p.breakConnections() }},
+		{"only another host reaches its server", "/report/x", true, false, func(_ *rig, _ *plat.Server, p *path) { p.cut() }},
+		{"only another host reaches its server, where any server may resume", "/note/x", true, false, func(_ *rig, _ *plat.Server, p *path) { p.cut() }},
+		{"its server leaves, closes the connection and works on", "/report/x", false, true, func(r *rig, source *plat.Server, p *path) { r.putAt(r.index(source), p.address(), true) }},
+		{"its server leaves, closes the connection and works on, where any server may resume", "/note/x", false, true, func(r *rig, source *plat.Server, p *path) { r.putAt(r.index(source), p.address(), true) }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r, paths := newPathRig(t)
 			r.Others = otherHost{r}
 			both := r.recordOverlaps()
 			for _, e := range r.engines {
-				e.IgnoresEnds = tc.ignoresEnds
+				e.IgnoresEnds, e.ClosesEnds = tc.ignoresEnds, tc.closesEnds
 			}
 			answers := make(chan reply, 1)
 			go func() { answers <- r.do(t, streamRequest(tc.path)) }()
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -20,9 +20,8 @@
 	if s.ctx.Err() != nil {
 		return s.cutError(context.Cause(s.ctx))
 	}
-	if s.hasEndedOnRequest(cause) {
-		broken.isEnded = true
-		s.log.Info("run has ended", "server", broken.lease.Server.ID, "last_event", s.lastNumber, "took", time.Since(s.handover.endRequestedAt))
+	if s.isClosedOnRequest(cause) {
+		s.log.Info("backend server closed the connection on request", "server", broken.lease.Server.ID, "last_event", s.lastNumber, "took", time.Since(s.handover.endRequestedAt))
 		return s.replaceCurrent(cause)
 	}
 	s.recordFailure(s.ctx, broken.sample, broken.lease.Server, cause)
@@ -53,7 +52,7 @@
 		sb = s.takeOver(sb, m)
 	}
 	if !before.isEnded {
-		s.addUnended(before.lease.Server)
+		s.addUnended(before.lease.Server, s.handover.takeControl())
 	}
 	for ; s.resumes < maxResumes; s.resumes++ {
 		next, err := s.nextUpstream(sb)
@@ -79,6 +78,7 @@
 	}
 	if h := s.handover; h != nil {
 		s.handover = nil
+		h.closeControl()
 		f, err := s.openFromCopy(s.ctx, h.claimedCopy, h.conn)
 		if err == nil {
 			s.Meter.Resumed("moved")
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -44,6 +44,8 @@
 	pathCheckedAt time.Time
 	// leavingSince is when a migration of the run became due; zero while none waits.
 	leavingSince time.Time
+	// nextMoveAt is the earliest time of the next migration after one that was put off.
+	nextMoveAt time.Time
 	// nextCopyAt is the earliest time of the next copy on demand after a failed one.
 	nextCopyAt time.Time
 	// copyRefusals lists the backend servers at which a copy failed; hasNoCopyTarget is set while no other one is eligible.
--- a/internal/front/types.go
+++ b/internal/front/types.go
@@ -13,6 +13,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/notice"
 	"github.com/tarragonspur/tarragonspur/internal/policy"
 	"github.com/tarragonspur/tarragonspur/internal/pool"
+	"github.com/tarragonspur/tarragonspur/internal/send"
 )
 
 // Call holds the headers of a caller's request in decoded form.
@@ -85,6 +86,10 @@
 	Copy(ctx context.Context, at netip.AddrPort, run string, to netip.AddrPort) (Copy, error)
 	// Move is a Copy that ends the run first.
 	Move(ctx context.Context, at netip.AddrPort, run string, to netip.AddrPort) (Copy, error)
+	// Connect opens a connection to backend server at for MoveOver.
+	Connect(ctx context.Context, at netip.AddrPort) (*send.Conn, error)
+	// MoveOver is Move over an open connection to backend server at, which it closes.
+	MoveOver(ctx context.Context, conn *send.Conn, at netip.AddrPort, run string, to netip.AddrPort) (Copy, error)
 	// Free deletes a copy that a backend server holds.
 	Free(ctx context.Context, at netip.AddrPort, name string) error
 }
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -141,7 +141,7 @@
 // openUpstream sends the request to a backend server, over a new connection if conn is nil, once all others have ended it. It returns
 // the stream, or the full answer if the status is not that of a success.
 func (q *request) openUpstream(ctx context.Context, lease *pool.Lease, s ForwardMetadata, conn *send.Conn) (*upstream, *fullAnswer, error) {
-	f := &upstream{lease: lease}
+	f, stated := &upstream{lease: lease}, s.ResumeFrom
 	made, err := q.awaitEnds(ctx, lease.Server)
 	if err == nil {
 		err = ctx.Err()
@@ -169,10 +169,16 @@
 	}, basisAttributes(lease)...)...)
 	f.sample = q.sample(lease)
 	answer, err := q.exchange(ctx, lease, s, conn)
+	if errors.Is(err, errNotRun) && made.Name != "" && q.mayTryOther(lease, stated) {
+		q.log.Info("copy made as the run ended is refused", "server", lease.Server.ID, "copy", made.Name, "next", stated.Name)
+		s.ResumeFrom = stated
+		s.Timeout = time.Until(q.deadline)
+		answer, err = q.exchange(ctx, lease, s, nil)
+	}
 	if err != nil {
 		q.recordFailure(ctx, f.sample, lease.Server, err)
 		if !errors.IsAny(err, send.ErrNotSent, errNotRun) {
-			q.addUnended(lease.Server)
+			q.addUnended(lease.Server, nil)
 		}
 		q.close(f)
 		q.discard(&standby{claim: lease, copy: made})
@@ -185,7 +191,7 @@
 		full, err := q.readAnswer(ctx, lease, answer)
 		if err != nil {
 			q.recordFailure(ctx, f.sample, lease.Server, err)
-			q.addUnended(lease.Server)
+			q.addUnended(lease.Server, nil)
 			return nil, full, err
 		}
 		recordStatus(f.sample, full.status)
@@ -197,6 +203,11 @@
 	return f, nil, nil
 }
 
+// mayTryOther reports whether a backend server that has refused a copy may be sent the request with another copy that it holds.
+func (q *request) mayTryOther(lease *pool.Lease, other Copy) bool {
+	return other.Name != "" && q.Pool.WaitToResume(lease.Server.ID) == 0 && q.Budget.Allow(q.service.Name, true)
+}
+
 // read sends events to the channel until the stream or the context ends.
 func (f *upstream) read(ctx context.Context, answer *send.Answer, memory flow.Memory) {
 	defer answer.Close()
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -11,9 +11,11 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/tarragonspur/tarragonspur/internal/head"
 )
@@ -81,6 +83,24 @@
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.conn.Close() }
 
+// IsOpen reports whether the backend server has kept the connection so far: one that has too many resets new ones as soon as it has
+// accepted them.
+func (c *Conn) IsOpen() bool {
+	conn, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var buf [1]byte
+	var n int
+	var readErr error
+	err = raw.Control(func(fd uintptr) { n, _, readErr = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT) })
+	return err == nil && (n > 0 || errors.Is(readErr, unix.EAGAIN))
+}
+
 // Answer is a backend server's answer; its body is read from the connection.
 type Answer struct {
 	Status int
@@ -94,8 +114,8 @@
 	closed        sync.Once
 }
 
-// EndRequest closes the connection towards the backend server, which cancels the request there. The backend server closes its end once
-// the request has ended; until then the body has what it still sends.
+// EndRequest closes the connection towards the backend server, which cancels the request at most of them. Until a backend server closes its
+// end too, the body has what it still sends. That end does not show that the request has ended.
 func (a *Answer) EndRequest() error {
 	if conn, ok := a.conn.(interface{ CloseWrite() error }); ok {
 		return errors.Wrap(conn.CloseWrite(), "end request")
