fix(send): an answer whose connection is reset beside its request is not complete

Cause: callers got a part of an answer as a complete one. A backend server that answers a long upload at once, without a length, and resets the connection while the upload is being written is told apart from a proper end by the write only: the kernel tells of a reset once, and the reader of the answer sees the end of the connection. The host dropped the result of that write, and so does net/http once it has returned a head.

Change: internal/whole decides at the end of an answer that ends with its connection, in send and in all clients of net/http: the request must have been written without an error and acknowledged without a reset.

Why it works: each way in which a reset is told is looked at, the error of the write and that of the socket, before the end is passed on. A server that ends its side and reads on causes neither.

--- a/internal/head/transport.go
+++ b/internal/head/transport.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/tarragonspur/tarragonspur/internal/whole"
 )
 
 // NewClient returns a client over a transport, which no other client may use. Its calls return ErrInvalid for broken answers, and it
@@ -21,7 +25,8 @@
 	}
 }
 
-// Transport is an http.RoundTripper over HTTP/1.1 that returns ErrInvalid for broken answers.
+// Transport is an http.RoundTripper over HTTP/1.1 that returns ErrInvalid for broken answers. An answer that ends with its connection ends
+// with whole.ErrReset if that was reset.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a Transport that uses the connections of another one, which is changed.
@@ -67,12 +72,21 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var used *conn
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
-			c.expectHead()
-			used = c
-		}
-	}})
+	// A request that http.Transport sends again is written again.
+	var upload atomic.Pointer[whole.Upload]
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				upload.Store(c.expectHead())
+				used = c
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if u := upload.Load(); u != nil {
+				u.End(info.Err)
+			}
+		},
+	})
 	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		if invalid := used.invalidHead(); invalid != nil {
@@ -101,20 +115,35 @@
 	return nil
 }
 
-// conn checks the heads that are read from a connection.
+// conn checks the heads that are read from a connection, and how it ends.
 type conn struct {
 	net.Conn
 
 	mu      sync.Mutex
 	checker Checker
 	invalid error
+	// upload is the writing of the latest request; nil before the first.
+	upload *whole.Upload
 }
 
-// expectHead expects the head of the answer to the next request.
-func (c *conn) expectHead() {
+// expectHead expects the head of the answer to the next request, and returns its upload.
+func (c *conn) expectHead() *whole.Upload {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.checker = Checker{}
+	c.checker, c.upload = Checker{}, whole.NewUpload()
+	return c.upload
+}
+
+// checkEnd returns whole.ErrReset if the connection was reset, although its reader sees a proper end. http.Transport closes the connection
+// at the end of an answer that ends with it, also while the request is being written, so that the end has to wait.
+func (c *conn) checkEnd() error {
+	c.mu.Lock()
+	upload := c.upload
+	c.mu.Unlock()
+	if upload == nil {
+		return nil
+	}
+	return upload.Check(context.Background(), c.Conn)
 }
 
 // invalidHead returns the error of an invalid head; nil if there was none.
@@ -134,6 +163,11 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		if failure := c.checkEnd(); failure != nil {
+			err = failure
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	valid, invalid := c.checker.Check(p[:n])
--- a/internal/send/send.go
+++ b/internal/send/send.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/tarragonspur/tarragonspur/internal/head"
+	"github.com/tarragonspur/tarragonspur/internal/whole"
 )
 
 // Errors of one send.
@@ -158,7 +159,7 @@
 // is closed. Errors are marked ErrBroken, ErrInvalidAnswer or ErrNoMemory.
 func (c *Conn) Send(ctx context.Context, r *Request) (*Answer, error) {
 	stopAfterFunc := context.AfterFunc(ctx, c.Close)
-	answer, err := exchange(c.conn, r)
+	answer, err := exchange(ctx, c.conn, r)
 	if err != nil {
 		stopAfterFunc()
 		c.Close()
@@ -171,19 +172,23 @@
 	return answer, nil
 }
 
-func exchange(conn net.Conn, r *Request) (*Answer, error) {
+func exchange(ctx context.Context, conn net.Conn, r *Request) (*Answer, error) {
 	requestHead := appendHead(make([]byte, 0, 1<<10), r)
+	upload := whole.NewUpload()
 	if len(r.Body) <= inlineBodyBytes {
 		if _, err := conn.Write(append(requestHead, r.Body...)); err != nil {
 			return nil, errors.Mark(errors.Wrap(err, "send request"), ErrBroken)
 		}
+		upload.End(nil)
 	} else {
 		// The backend server may answer before it has read a long body, so the body is written concurrently.
 		// The goroutine ends when the connection is closed.
 		go func() {
-			if _, err := conn.Write(requestHead); err == nil {
-				_, _ = conn.Write(r.Body)
+			_, err := conn.Write(requestHead)
+			if err == nil {
+				_, err = conn.Write(r.Body)
 			}
+			upload.End(err)
 		}()
 	}
 	limited := &headReader{conn: conn, left: maxHeadBytes, memory: r.Memory}
@@ -202,7 +207,11 @@
 		}
 		limited.isBody = true
 		isUnframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, IsUnframed: isUnframed}, nil
+		body := resp.Body
+		if isUnframed {
+			body = &whole.Body{ReadCloser: resp.Body, Check: func() error { return upload.Check(ctx, conn) }}
+		}
+		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, IsUnframed: isUnframed}, nil
 	}
 }
 
