fix(front): a leaving run is ended only once its standby copy is confirmed

The host took the standby copy of a run of 600 ms for complete, ended the run, and the engine of the copy refused it with 503: engines drop standby copies for want of memory and tell nobody.

Change: the run is copied on demand to the engine of its standby copy, or to another one, before it is ended. Where no engine takes a copy, the standby copy is used as before, as it is after a refused copy on demand.

Why it works: the answer to the copy on demand says that the copy is there, while the run still goes on.

The stand-in of the unframed streams ends its run for calls with last only, as engines do; breakConnections no longer waits where there is nothing to break, which had let it break the connection of the next run in TestServerWhoseErrorBreaksOffEndsItsRunFirst.

--- a/internal/front/copy.go
+++ b/internal/front/copy.go
@@ -135,6 +135,11 @@
 	}
 	s.log.Info("copy on demand failed", "server", c.server, "to", to, "error", c.err)
 	s.copyRefusals = append(s.copyRefusals, to)
-	s.discard(sb)
+	if isRenewed && sb.copiedAt.IsZero() {
+		sb.releaseClaim()
+		s.unconfirmed = sb
+	} else {
+		s.discard(sb)
+	}
 	s.nextCopyAt = time.Now().Add(copyRetryDelay)
 }
--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -121,6 +121,9 @@
 	for _, e := range r.engines {
 		e.Events, e.Pause = events, 20*time.Millisecond
 		e.Script = func(conn net.Conn, q *plat.Request) bool {
+			if q.URL.Path == movePath && !strings.Contains(q.Text, `"last":true`) {
+				return false // the run goes on
+			}
 			if q.URL.Path == movePath {
 				once.Do(func() { close(stopped) })
 				if status == 0 {
--- a/internal/front/handover_test.go
+++ b/internal/front/handover_test.go
@@ -28,15 +28,22 @@
 			r, paths := newPathRig(t)
 			rec := r.recordLog()
 			both := r.recordOverlaps()
-			for _, e := range r.engines {
+			for i, e := range r.engines {
 				e.ClosesEnds = true
+				record := e.Script
+				e.Script = func(conn net.Conn, q *plat.Request) bool {
+					if q.URL.Path == movePath {
+						// From the copy on.
+						tc.refuse(paths[i])
+					}
+					return record(conn, q)
+				}
 			}
 			answers := make(chan reply, 1)
 			go func() { answers <- r.do(t, streamRequest("/report/x")) }()
 			source := r.runningEngine(t)
 			time.Sleep(200 * time.Millisecond)
 			p := paths[r.index(source)]
-			tc.refuse(p)
 			r.putAt(r.index(source), p.address(), true)
 			got := <-answers
 			assert.NilError(t, got.err)
@@ -75,3 +82,71 @@
 	assert.Equal(t, refused.Load(), int32(1), "copies refused")
 	assert.Assert(t, !source.IsAtWork(attempt))
 }
+
+// TestMissingStandbyCopyEndsNoStream guards against a stream that is ended at its leaving server for the sake of a standby copy that its
+// server has dropped for want of memory: the copy would be refused, and nothing could go on.
+func TestMissingStandbyCopyEndsNoStream(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// refusesCopies says that the server of the standby copy has no room for a copy on demand either.
+		refusesCopies bool
+	}{{"it has room again", false}, {"it has no room", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, 6)
+			var standbyAt atomic.Value
+			for _, e := range r.engines {
+				// The standby copy never arrives.
+				e.Events, e.Pause, e.BackupDelay = 100, 10*time.Millisecond, time.Hour
+				e.Script = func(conn net.Conn, q *plat.Request) bool {
+					if backup := q.Header.Get("Kv-Backup"); backup != "" && !q.ResumesRun() {
+						standbyAt.Store(backup)
+					}
+					to, _ := standbyAt.Load().(string)
+					isRefused := tc.refusesCopies && q.URL.Path == movePath && strings.Contains(q.Text, `"target":"`+to+`"`)
+					if isRefused {
+						plat.Reply(conn, q, http.StatusServiceUnavailable, "", "")
+					}
+					return isRefused
+				}
+			}
+			ask := r.longRequest("/report/x", 6*time.Second)
+			answers := make(chan reply, 1)
+			go func() { answers <- r.do(t, ask) }()
+			source := r.runningEngine(t)
+			time.Sleep(700 * time.Millisecond)
+			r.put(r.index(source), true)
+			got := <-answers
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.text, fullStream(100))
+			assert.Equal(t, len(r.received()), 2, "the stream went on elsewhere")
+		})
+	}
+}
+
+// TestStandbyCopyIsUsedWhereNoCopyCanBeMade guards against a stream that stays at its leaving server although its standby copy is there,
+// because no backend server takes a copy on demand.
+func TestStandbyCopyIsUsedWhereNoCopyCanBeMade(t *testing.T) {
+	r := newRig(t, 6)
+	for _, e := range r.engines {
+		e.Events, e.Pause = 100, 10*time.Millisecond
+		e.Script = func(conn net.Conn, q *plat.Request) bool {
+			isRefused := q.URL.Path == movePath && !strings.Contains(q.Text, `"last":true`)
+			if isRefused {
+				plat.Reply(conn, q, http.StatusServiceUnavailable, "", "")
+			}
+			return isRefused
+		}
+	}
+	ask := r.longRequest("/report/x", 6*time.Second)
+	answers := make(chan reply, 1)
+	go func() { answers <- r.do(t, ask) }()
+	source := r.runningEngine(t)
+	time.Sleep(200 * time.Millisecond)
+	leftAt := time.Now()
+	r.put(r.index(source), true)
+	eventually(t, "the stream to go on elsewhere", func() bool { return len(r.received()) == 2 })
+	assert.Assert(t, time.Since(leftAt) < 600*time.Millisecond, "after %s", time.Since(leftAt))
+	got := <-answers
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.text, fullStream(100))
+}
--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -22,8 +22,10 @@
 	moveRetryDelay = 250 * time.Millisecond
 	// maxHandoverTime bounds the time from the choice of the copy's backend server, which may leave meanwhile, to the end of the run.
 	maxHandoverTime = time.Second
-	// standbyTime is the age of a run from which its standby copy is assumed to be complete: the run ends before the copy is used, so that
-	// a refusal would cut the stream.
+	// maxCopyRefusals is the number of backend servers that refuse a copy of a leaving run after which its standby copy is used unconfirmed.
+	maxCopyRefusals = 2
+	// standbyTime is the age of a run from which its standby copy is assumed to be complete if it can't be confirmed: the run ends before the
+	// copy is used, so that a refusal would cut the stream.
 	standbyTime = 600 * time.Millisecond
 	// prefillWait bounds how long after a shutdown notice a migration waits until its target has finished pending prefills:
 	// these double the time between events. The shortest notices leave 1.5 s.
@@ -86,11 +88,14 @@
 	}
 	s.dropLeavingStandby()
 	sb := s.current.standby
+	if sb == nil && len(s.copyRefusals) >= maxCopyRefusals || s.hasNoCopyTarget {
+		sb = s.useUnconfirmed()
+	}
 	if sb == nil {
 		s.copyOnDemand(pool.Migration)
 		return
 	}
-	if sb.copiedAt.IsZero() && !s.current.hasRunFor(standbyTime, time.Now()) {
+	if sb.copiedAt.IsZero() && !sb.isLastResort && !s.isConfirmed(sb) {
 		return
 	}
 	if time.Since(s.leavingSince) < prefillWait && s.Pool.PendingPromptTokens(sb.claim.Server.ID) > 0 {
@@ -104,6 +109,34 @@
 	s.migrateTo(sb, server)
 }
 
+// isConfirmed reports whether a standby copy may be used as it is. Engines drop standby copies for want of memory and say so to nobody, so
+// that a run is copied on demand to the same backend server before it ends. Where engines can't, the copy is assumed to be there.
+func (s *session) isConfirmed(sb *standby) bool {
+	if !s.service.Engine.SupportsMigration {
+		return s.current.hasRunFor(standbyTime, time.Now())
+	}
+	if s.started && !time.Now().Before(s.nextCopyAt) {
+		s.startCopy(sb)
+	}
+	return false
+}
+
+// useUnconfirmed makes the standby copy that could not be confirmed that of the run again, if there is one.
+func (s *session) useUnconfirmed() *standby {
+	sb := s.unconfirmed
+	if sb == nil || s.current.standby != nil || s.Pool.IsLeaving(sb.claim.Server.ID) {
+		return s.current.standby
+	}
+	s.unconfirmed = nil
+	claim, err := s.Pool.Claim(sb.claim.Server.ID, s.expectedTokens(), time.Now())
+	if err != nil {
+		return nil
+	}
+	sb.claim, sb.isLastResort = claim, true
+	s.current.standby = sb
+	return sb
+}
+
 // migrateTo connects to the backend server of a copy.
 func (s *session) migrateTo(sb *standby, from string) {
 	if !s.allowResume() {
@@ -336,7 +369,7 @@
 func (s *session) openFromCopy(ctx context.Context, c *claimedCopy, conn *send.Conn) (*upstream, error) {
 	metadata := s.forwardMetadata(c.lease.Server.ID)
 	metadata.ResumeFrom, metadata.LastEvent = c.standby.copy, s.lastEventID()
-	f, answer, err := s.openUpstream(ctx, c.lease, metadata, conn)
+	f, answer, err := s.openUpstream(ctx, c.lease, metadata, conn, c.standby.kept)
 	if answer != nil {
 		err = errors.Newf("backend server %s answered with status %d instead of a stream", c.lease.Server.ID, answer.status)
 	}
--- a/internal/front/order_test.go
+++ b/internal/front/order_test.go
@@ -99,6 +99,9 @@
 func (p *path) breakConnections() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.conns) == 0 {
+		return
+	}
 	// The host reads what was sent before the resets discard it.
 	time.Sleep(100 * time.Millisecond)
 	for _, c := range p.conns {
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -38,7 +38,10 @@
 	before := s.current
 	sb := before.standby
 	before.standby = nil
-	s.current = nil
+	if sb == nil {
+		sb = s.unconfirmed
+	}
+	s.unconfirmed, s.current = nil, nil
 	s.request.close(before)
 	if s.cancelEnding != nil && s.handover == nil && before.isAsked.Load() {
 		// The answer of the other host, which takes a second at most, has the name of the copy.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -44,6 +44,8 @@
 	pathCheckedAt time.Time
 	// leavingSince is when a migration of the run became due; zero while none waits.
 	leavingSince time.Time
+	// unconfirmed is the standby copy of the current run that could not be confirmed; it is used if the run breaks and there is no other.
+	unconfirmed *standby
 	// nextMoveAt is the earliest time of the next migration after one that was put off.
 	nextMoveAt time.Time
 	// nextCopyAt is the earliest time of the next copy on demand after a failed one.
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -73,6 +73,10 @@
 type standby struct {
 	claim *pool.Lease
 	copy  Copy
+	// kept is the copy that the run's engine keeps up to date at the same backend server; empty if it does not.
+	kept Copy
+	// isLastResort is set if no other backend server takes a copy of the run, so that this one is used although it could not be confirmed.
+	isLastResort bool
 	// copiedAt is when a copy on demand was made; zero for a standby copy, which the engine keeps up to date.
 	copiedAt time.Time
 }
@@ -139,9 +143,10 @@
 }
 
 // openUpstream sends the request to a backend server, over a new connection if conn is nil, once all others have ended it. It returns
-// the stream, or the full answer if the status is not that of a success.
-func (q *request) openUpstream(ctx context.Context, lease *pool.Lease, s ForwardMetadata, conn *send.Conn) (*upstream, *fullAnswer, error) {
-	f, stated := &upstream{lease: lease}, s.ResumeFrom
+// the stream, or the full answer if the status is not that of a success. A refused copy is followed by the other copies that the backend
+// server may hold.
+func (q *request) openUpstream(ctx context.Context, lease *pool.Lease, s ForwardMetadata, conn *send.Conn, others ...Copy) (*upstream, *fullAnswer, error) {
+	f := &upstream{lease: lease}
 	made, err := q.awaitEnds(ctx, lease.Server)
 	if err == nil {
 		err = ctx.Err()
@@ -154,6 +159,7 @@
 		return nil, nil, err
 	}
 	if made.Name != "" {
+		others = append([]Copy{s.ResumeFrom}, others...)
 		s.ResumeFrom = made
 	}
 	s.Timeout = time.Until(q.deadline)
@@ -169,10 +175,12 @@
 	}, basisAttributes(lease)...)...)
 	f.sample = q.sample(lease)
 	answer, err := q.exchange(ctx, lease, s, conn)
-	if errors.Is(err, errNotRun) && made.Name != "" && q.mayTryOther(lease, stated) {
-		q.log.Info("copy made as the run ended is refused", "server", lease.Server.ID, "copy", made.Name, "next", stated.Name)
-		s.ResumeFrom = stated
-		s.Timeout = time.Until(q.deadline)
+	for _, other := range others {
+		if !errors.Is(err, errNotRun) || other.Name == "" || other == s.ResumeFrom || !q.mayTryOther(lease) {
+			continue
+		}
+		q.log.Info("copy is refused", "server", lease.Server.ID, "copy", s.ResumeFrom.Name, "next", other.Name)
+		s.ResumeFrom, s.Timeout = other, time.Until(q.deadline)
 		answer, err = q.exchange(ctx, lease, s, nil)
 	}
 	if err != nil {
@@ -204,8 +212,8 @@
 }
 
 // mayTryOther reports whether a backend server that has refused a copy may be sent the request with another copy that it holds.
-func (q *request) mayTryOther(lease *pool.Lease, other Copy) bool {
-	return other.Name != "" && q.Pool.WaitToResume(lease.Server.ID) == 0 && q.Budget.Allow(q.service.Name, true)
+func (q *request) mayTryOther(lease *pool.Lease) bool {
+	return q.Pool.WaitToResume(lease.Server.ID) == 0 && q.Budget.Allow(q.service.Name, true)
 }
 
 // read sends events to the channel until the stream or the context ends.
@@ -267,5 +275,6 @@
 	if err != nil {
 		return nil
 	}
-	return &standby{claim: claim, copy: Copy{Address: claim.Server.Address, Name: q.ID}}
+	kept := Copy{Address: claim.Server.Address, Name: q.ID}
+	return &standby{claim: claim, copy: kept, kept: kept}
 }
