fix(front): only standby copies of young runs are confirmed before their run ends

Change: runs of 2.5 s and more use their standby copy as before. A copy that could not be confirmed is used once two engines refuse a copy of the run, or as the run breaks.

--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -24,8 +24,10 @@
 	maxHandoverTime = time.Second
 	// maxCopyRefusals is the number of backend servers that refuse a copy of a leaving run after which its standby copy is used unconfirmed.
 	maxCopyRefusals = 2
-	// standbyTime is the age of a run from which its standby copy is assumed to be complete if it can't be confirmed: the run ends before the
-	// copy is used, so that a refusal would cut the stream.
+	// confirmTime is the age of a run from which its standby copy is assumed to be there: its first part waits behind other copies on its way,
+	// and those of runs of up to 1.8 s were refused. standbyTime is the same where copies can't be confirmed. The run ends before the copy is
+	// used, so that a refusal cuts the stream.
+	confirmTime = 2500 * time.Millisecond
 	standbyTime = 600 * time.Millisecond
 	// prefillWait bounds how long after a shutdown notice a migration waits until its target has finished pending prefills:
 	// these double the time between events. The shortest notices leave 1.5 s.
@@ -88,7 +90,7 @@
 	}
 	s.dropLeavingStandby()
 	sb := s.current.standby
-	if sb == nil && len(s.copyRefusals) >= maxCopyRefusals || s.hasNoCopyTarget {
+	if sb == nil && len(s.copyRefusals) >= maxCopyRefusals {
 		sb = s.useUnconfirmed()
 	}
 	if sb == nil {
@@ -109,11 +111,15 @@
 	s.migrateTo(sb, server)
 }
 
-// isConfirmed reports whether a standby copy may be used as it is. Engines drop standby copies for want of memory and say so to nobody, so
-// that a run is copied on demand to the same backend server before it ends. Where engines can't, the copy is assumed to be there.
+// isConfirmed reports whether a standby copy may be used as it is. Engines say to nobody whether it has arrived, so that a young run is
+// copied on demand to the same backend server before it ends. Where engines can't, the copy is assumed to be there.
 func (s *session) isConfirmed(sb *standby) bool {
+	now := time.Now()
+	if s.current.hasRunFor(confirmTime, now) {
+		return true
+	}
 	if !s.service.Engine.SupportsMigration {
-		return s.current.hasRunFor(standbyTime, time.Now())
+		return s.current.hasRunFor(standbyTime, now)
 	}
 	if s.started && !time.Now().Before(s.nextCopyAt) {
 		s.startCopy(sb)
@@ -124,8 +130,8 @@
 // useUnconfirmed makes the standby copy that could not be confirmed that of the run again, if there is one.
 func (s *session) useUnconfirmed() *standby {
 	sb := s.unconfirmed
-	if sb == nil || s.current.standby != nil || s.Pool.IsLeaving(sb.claim.Server.ID) {
-		return s.current.standby
+	if sb == nil || s.Pool.IsLeaving(sb.claim.Server.ID) {
+		return nil
 	}
 	s.unconfirmed = nil
 	claim, err := s.Pool.Claim(sb.claim.Server.ID, s.expectedTokens(), time.Now())
