test(soak): requests with a key that is withdrawn before the store comes back

Change: a key is withdrawn after the first copy, a fifth of the reads are sent with it, and none may run later than two seconds after.

--- a/internal/fakes/broken/early.go
+++ b/internal/fakes/broken/early.go
@@ -23,7 +23,7 @@
 const (
 	// readTime is how long the client has to read the answer before the connection ends.
 	readTime = 10 * time.Millisecond
-	// slowPart and slowPause are the bytes that a slow server reads at once, and the pause after them.
+	// slowPart is the size of one read of a slow server, slowPause the pause between two reads.
 	slowPart  = 512 << 10
 	slowPause = 10 * time.Millisecond
 )
--- a/internal/front/early_test.go
+++ b/internal/front/early_test.go
@@ -44,7 +44,7 @@
 }
 
 // TestEarlyAnswerThatIsResetDoesNotReachCallers guards against a part of an answer that callers get as a complete one: the backend server
-// answers a long request at once, without a length, and resets the connection while the request is still being written.
+// answers a long request before it has read it, without a length, and resets the connection while the request is still being written.
 func TestEarlyAnswerThatIsResetDoesNotReachCallers(t *testing.T) {
 	const times = 8
 	own := "Attempt-Id: " + attempt + "\r\n" + plat.Signature
--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -23,7 +23,7 @@
 	moveTimeout = 1200 * time.Millisecond
 	// maxEndWait bounds how long a stream waits for the end of its run. Callers leave after a gap of 2 s.
 	maxEndWait = 1300 * time.Millisecond
-	// gapReserve is the part of the time that callers wait for the next event in which the run goes on once it has ended elsewhere.
+	// gapReserve is the part of a caller's wait for the next event that is left for the next backend server to make it.
 	gapReserve = 700 * time.Millisecond
 	// maxStopTime bounds how long a run is stopped in the background if its backend server could not be reached, in case the path
 	// comes back.
--- a/internal/front/handover_test.go
+++ b/internal/front/handover_test.go
@@ -13,7 +13,7 @@
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
 )
 
-// TestServerThatCannotBeAskedKeepsItsStream guards against a migration that gives up the connection to a run at a leaving server which
+// TestServerThatCannotBeAskedKeepsItsStream guards against a migration that closes the connection to a run at a leaving server which
 // takes no more connections: the server may work on after it has closed its end, and nothing could end the run.
 func TestServerThatCannotBeAskedKeepsItsStream(t *testing.T) {
 	for _, tc := range []struct {
@@ -152,7 +152,7 @@
 }
 
 // TestServerThatResetsCallsKeepsItsRun guards against a second run beside one whose server is reached but takes no more connections: it
-// resets the calls that end the run, which shows that it is there. Once it takes one, the stream goes on elsewhere and is whole.
+// resets the calls that end the run, which shows that it is there. Once it takes one, the stream continues elsewhere and is whole.
 func TestServerThatResetsCallsKeepsItsRun(t *testing.T) {
 	for _, tc := range []struct {
 		name, path string
--- a/internal/front/migrate.go
+++ b/internal/front/migrate.go
@@ -171,7 +171,7 @@
 		began := time.Now()
 		c.handover.control, c.controlErr = s.Copies.Connect(s.ctx, source.Address)
 		if c.controlErr == nil {
-			// A server that has too many connections resets this one a round trip later, while the stream goes on.
+			// A server that has too many connections resets this one a round trip later; events arrive meanwhile.
 			ticks.Sleep(s.ctx, time.Since(began)+resetMargin)
 		}
 	}()
--- a/internal/send/early_test.go
+++ b/internal/send/early_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// TestEarlyAnswerBesideAShortRequestIsNotComplete guards against the same beside requests that the kernel takes at once.
+// TestEarlyAnswerBesideAShortRequestIsNotComplete guards against the same beside requests that fit the kernel's buffers.
 func TestEarlyAnswerBesideAShortRequestIsNotComplete(t *testing.T) {
 	for _, tc := range []struct {
 		name string
@@ -79,7 +79,7 @@
 	}
 }
 
-// TestResetIsNamed checks that a reset within an answer can be told from other errors.
+// TestResetIsNamed checks that a reset within an answer has an error of its own.
 func TestResetIsNamed(t *testing.T) {
 	s := broken.EarlyServer{Ending: broken.Endings()[2], Answer: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\na part" }}
 	a, err := send.Open(t.Context(), s.Start(t), &send.Request{Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, 8<<20), HasBody: true})
--- a/internal/settle/link.go
+++ b/internal/settle/link.go
@@ -94,7 +94,7 @@
 	}, nil
 }
 
-// Server tells other hosts which table this one has in force.
+// Server reports the table in force to other hosts.
 type Server struct {
 	setpb.UnimplementedSettleServer
 
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -40,7 +40,11 @@
 		if path == town.ReportPath && c.soak.DeadlyRatio > 0 {
 			town.SetPrompt(header, id, isDeadly)
 		}
-		o := outcome{path: path, id: id, host: host.index, isDeadly: isDeadly, sentAt: time.Now()}
+		isWithdrawn := c.soak.HasRestores && path == town.ReadPath && c.rand.Float64() < withdrawnRatio
+		if isWithdrawn {
+			header.Set("Key", withdrawnKey)
+		}
+		o := outcome{isWithdrawn: isWithdrawn, path: path, id: id, host: host.index, isDeadly: isDeadly, sentAt: time.Now()}
 		c.soak.owners.add(id, host.index)
 		c.send(ctx, client, host, header, &o)
 		o.took = time.Since(o.sentAt)
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -23,10 +23,12 @@
 	host     int
 	// isDeadly reports whether the prompt holds a part that crashes engines; hosts may refuse such requests.
 	isDeadly bool
-	sentAt   time.Time
-	status   int
-	body     string
-	signed   bool
+	// isWithdrawn says that the request has a key that was withdrawn.
+	isWithdrawn bool
+	sentAt      time.Time
+	status      int
+	body        string
+	signed      bool
 	// retryAfter is the header of that name, took the time until the response's end.
 	retryAfter string
 	took       time.Duration
@@ -83,7 +85,7 @@
 			report("request %s got a wrong partial response: %.80q", o.id, o.body)
 		case isNotRunResponse(o) && o.path != town.ReadPath && o.path != town.NotePath && runs[o.id] > 0:
 			report("request %s was refused as not run, but ran", o.id)
-		case o.err == nil && o.status >= http.StatusBadRequest && o.status < http.StatusInternalServerError && !isNotRunResponse(o):
+		case o.err == nil && !o.isWithdrawn && o.status >= http.StatusBadRequest && o.status < http.StatusInternalServerError && !isNotRunResponse(o):
 			report("request %s was denied with status %d", o.id, o.status)
 		}
 		if o.path == town.BookPath && runs[o.id] > 1 {
@@ -92,7 +94,7 @@
 		if o.path == town.ReportPath && runs[o.id] > 1 {
 			report("report %s ran %d times", o.id, runs[o.id])
 		}
-		if !o.isDeadly && o.sentAt.After(rec.recoveryStart.Add(settlingTime)) {
+		if !o.isDeadly && !o.isWithdrawn && o.sentAt.After(rec.recoveryStart.Add(settlingTime)) {
 			recoveryTotal++
 			if o.isServed() {
 				recoveryServed++
--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tarragonspur/tarragonspur/internal/fakes/plat"
+	"github.com/tarragonspur/tarragonspur/internal/fakes/town"
 	"github.com/tarragonspur/tarragonspur/internal/ticks"
 )
 
@@ -24,6 +25,11 @@
 	// orderHoldTime is how long hosts keep an order for the failure domain of all servers in force after a return that has lost it: five
 	// seconds, and the wait of the call that is in progress then.
 	orderHoldTime = 7 * time.Second
+	// withdrawnKey is a key that is withdrawn after the first copy, keyAge the time after which no host accepts it, and withdrawnRatio the
+	// fraction of the reads that are sent with it.
+	withdrawnKey   = "withdrawn-key"
+	keyAge         = 2 * time.Second
+	withdrawnRatio = 0.2
 )
 
 // restorer makes the store come back from copies, and a server leave that the oldest of them shows as healthy.
@@ -33,23 +39,28 @@
 	// leaving leaves from leavingAt on.
 	leaving   *plat.Server
 	leavingAt time.Time
+	// withdrawnAt is when the table without withdrawnKey was confirmed.
+	withdrawnAt time.Time
 }
 
 // prepareRestores makes the store name its eras, and starts the server that is to leave.
 func (s *Soak) prepareRestores() {
 	s.town.Store.NameEras()
+	s.town.SetTable(town.ReadPath, town.Key, withdrawnKey)
 	e := &plat.Server{ID: "leaver", Copies: s.town.Copies}
 	e.Start()
 	s.restorer.leaving = e
 	s.town.Register(e, false)
 }
 
-// leaveAfterCopy makes the server leave after the first copy, and waits until all hosts must know it.
+// leaveAfterCopy makes the server leave and withdraws a key after the first copy, and waits until all hosts must know both.
 func (s *Soak) leaveAfterCopy(ctx context.Context) {
 	ticks.Sleep(ctx, time.Second)
 	s.restorer.copies = []*plat.Copy{s.town.Store.Copy()}
 	s.town.Register(s.restorer.leaving, true)
 	s.restorer.leavingAt = time.Now()
+	s.town.SetTable(town.ReadPath, town.Key)
+	s.restorer.withdrawnAt = time.Now()
 	ticks.Sleep(ctx, drainTimeout)
 }
 
@@ -128,3 +139,24 @@
 	}
 	return []string{fmt.Sprintf("%d requests reached server %s later than %s after it had left", late, s.restorer.leaving.ID, drainTimeout)}
 }
+
+// checkWithdrawn checks that no request has run that was sent with the withdrawn key after all hosts had to refuse it, hosts that have
+// started since included.
+func (s *Soak) checkWithdrawn() []string {
+	late := make(map[string]outcome)
+	for _, o := range s.recorder.outcomes {
+		if o.isWithdrawn && o.sentAt.After(s.restorer.withdrawnAt.Add(keyAge)) {
+			late[o.id] = o
+		}
+	}
+	var violations []string
+	for _, e := range s.town.Servers {
+		for _, r := range e.Requests() {
+			if o, found := late[r.Attempt()]; found && r.Ran {
+				violations = append(violations, fmt.Sprintf("request %s of host %d ran %s after its key was withdrawn", o.id, o.host, o.sentAt.Sub(s.restorer.withdrawnAt)))
+			}
+		}
+	}
+	fmt.Fprintf(s.Out, "seed %d: %d requests with a key that was withdrawn, %d have run\n", s.Seed, len(late), len(violations))
+	return violations
+}
--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -132,6 +132,7 @@
 	}{
 		{3, 10 * time.Second, "hosts took a server that leaves for healthy, since the copy showed it so"},
 		{117, 6 * time.Second, "hosts left a failure domain out for 30 s whose order the copy lacked, and that was taken back after the return"},
+		{6301, 6 * time.Second, "a host that had started took a copy for the newest table, and accepted a key that had been withdrawn 7.7 s before"},
 	} {
 		t.Run(tc.cause, func(t *testing.T) {
 			t.Parallel()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -263,6 +263,7 @@
 	violations := s.recorder.check(engines)
 	if s.HasRestores {
 		violations = append(violations, s.checkLeaver()...)
+		violations = append(violations, s.checkWithdrawn()...)
 	}
 	if s.HasRollout {
 		violations = append(violations, s.checkRollout()...)
