--- a/internal/site/settle_test.go
+++ b/internal/site/settle_test.go
@@ -33,7 +33,7 @@
 	drillServe   = 2 * time.Second
 )
 
-// drillHost is a host that follows the table and tells other hosts which one it has in force.
+// drillHost is a host that follows the table and reports the one in force to other hosts.
 type drillHost struct {
 	rig     *drillRig
 	index   int
--- a/internal/whole/whole.go
+++ b/internal/whole/whole.go
@@ -1,5 +1,5 @@
 // Package whole decides whether an answer that ends with its connection is complete. A connection that is reset while the request is still
-// being written tells only the writer: the reader of the answer sees a proper end.
+// being written fails the write only: the reader of the answer sees a proper end.
 package whole
 
 import (
